--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"silverhold/internal/wire"
-	"silverhold/rules"
+	"cranegate/internal/wire"
+	"cranegate/rules"
 )
 
 func main() {
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,216 @@
+// Package clients holds what every front shares: accepting connections within a budget, asking the core while
+// watching for the client's close, and ending without crossing a request already read.
+package clients
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranegate/internal/core"
+	"cranegate/internal/netbuf"
+	"cranegate/internal/stats"
+)
+
+const (
+	lingerFor  = 500 * time.Millisecond // after a stop, new connections go on being taken for this long
+	finishFor  = 300 * time.Millisecond // and a message that has begun to come in has this long to end
+	writeFor   = 5 * time.Second        // a client that takes no answer for this long is let go
+	messageFor = 30 * time.Second       // and so long for the whole of any message that has begun
+	startFor   = 10 * time.Second       // a connection says who it is within this time
+	acceptWait = 20 * time.Millisecond  // after a failed accept
+)
+
+// ErrGone says that the client has left.
+var ErrGone = errors.New("the client has left")
+
+// errStopped says that this gateway ends and the client's connection has nothing under way.
+var errStopped = errors.New("the gateway is ending")
+
+// Front speaks one protocol with clients.
+type Front interface {
+	// Limit bounds a message's size.
+	Limit() int
+	// Serve talks to one client until that leaves or Next returns an error.
+	Serve(*Session) error
+	// TurnAway tells a client that there is no room for it.
+	TurnAway(net.Conn)
+}
+
+// Server accepts a front's clients.
+type Server struct {
+	Name     string
+	Front    Front
+	Core     *core.Core
+	Slots    chan struct{} // a descriptor for each client; all fronts may share it
+	Counters *stats.Counters
+
+	stopping atomic.Bool
+	mu       sync.Mutex
+	sessions map[*Session]bool
+}
+
+// Run accepts clients until the context ends, and some time longer; then it closes the listener and the idle
+// connections, and returns once every request taken has its answer.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	s.sessions = map[*Session]bool{}
+	var group errgroup.Group
+	stop := context.AfterFunc(ctx, func() {
+		time.Sleep(lingerFor)
+		s.stopping.Store(true)
+		l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for x := range s.sessions {
+			x.Conn.Wake()
+		}
+	})
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return group.Wait()
+		} else if err != nil {
+			log.Printf("event=accept_failed front=%s error=%q", s.Name, err)
+			time.Sleep(acceptWait)
+			continue
+		}
+		s.Counters.Add(s.Name+"_clients", 1)
+		select {
+		case s.Slots <- struct{}{}:
+			group.Go(func() error {
+				defer func() { <-s.Slots }()
+				s.serve(conn)
+				return nil
+			})
+		default:
+			s.Counters.Add(s.Name+"_clients_turned_away", 1)
+			conn.SetDeadline(time.Now().Add(acceptWait))
+			s.Front.TurnAway(conn)
+			conn.Close()
+		}
+	}
+}
+
+// serve lives with one connection.
+func (s *Server) serve(conn net.Conn) {
+	x := &Session{Conn: netbuf.New(conn, s.Front.Limit()), server: s, starts: time.Now().Add(startFor)}
+	s.mu.Lock()
+	s.sessions[x] = true
+	s.mu.Unlock()
+	err := s.Front.Serve(x)
+	s.mu.Lock()
+	delete(s.sessions, x)
+	s.mu.Unlock()
+	conn.Close()
+	if err != nil && !errors.Is(err, ErrGone) && !errors.Is(err, errStopped) {
+		log.Printf("event=client_ended front=%s peer=%s error=%q", s.Name, conn.RemoteAddr(), err)
+	}
+}
+
+// Session is one client's connection. Its goroutine is the client's actor; Conn.Wake with an answer or a stop
+// is its mailbox.
+type Session struct {
+	*netbuf.Conn
+	server  *Server
+	starts  time.Time // until when the client must have said who it is; zero once it has
+	arrived time.Time
+}
+
+// Core is the core that the session asks.
+func (x *Session) Core() *core.Core { return x.server.Core }
+
+// Counters are the program's counters.
+func (x *Session) Counters() *stats.Counters { return x.server.Counters }
+
+// Started says that the client has said who it is.
+func (x *Session) Started() { x.starts = time.Time{} }
+
+// Next waits for a message and calls read, which must take one whole message. It returns an error where the
+// client has left, or where the gateway ends and nothing of a message has come. What has come by then is taken:
+// that guards against a close that crosses a request.
+func (x *Session) Next(read func() error) error {
+	for x.Buffered() == 0 {
+		err := x.Park(x.starts, x.server.stopping.Load)
+		if err != nil {
+			return x.gone(err)
+		}
+		if x.Buffered() == 0 && x.server.stopping.Load() {
+			if x.Alive() {
+				return errStopped
+			}
+			break
+		}
+	}
+	until := time.Now().Add(messageFor)
+	if !x.starts.IsZero() {
+		until = x.starts
+	}
+	if x.server.stopping.Load() {
+		until = time.Now().Add(finishFor)
+	}
+	x.SetReadDeadline(until)
+	err := read()
+	x.arrived = time.Now()
+	if err != nil {
+		return x.gone(err)
+	}
+	return nil
+}
+
+// gone names an error that only says that the client has left.
+func (x *Session) gone(err error) error {
+	if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	var op *net.OpError
+	if errors.As(err, &op) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF) {
+		return ErrGone
+	}
+	return err
+}
+
+// Ask hands a request to the core and waits for its answer, watching for the client's close.
+func (x *Session) Ask(q *core.Request) (core.Answer, error) {
+	answers := make(chan core.Answer, 1)
+	q.Arrived = x.arrived
+	q.Reply = func(a core.Answer) {
+		answers <- a
+		x.Wake()
+	}
+	if !x.server.Core.Submit(q) {
+		return core.Answer{Status: core.Failed}, nil
+	}
+	for {
+		err := x.Park(time.Time{}, func() bool { return len(answers) > 0 })
+		select {
+		case a := <-answers:
+			return a, nil
+		default:
+		}
+		if errors.Is(err, netbuf.ErrTooLarge) { // it has sent so much more that its close can't be seen
+			return <-answers, nil
+		}
+		if err != nil {
+			x.server.Core.Gone(q)
+			return core.Answer{}, ErrGone
+		}
+	}
+}
+
+// Send writes to the client.
+func (x *Session) Send(b []byte) error {
+	x.SetWriteDeadline(time.Now().Add(writeFor))
+	if _, err := x.Write(b); err != nil {
+		return ErrGone
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/clients/postgres/postgres.go
@@ -0,0 +1,169 @@
+// Package postgres is the platform's front: PostgreSQL's wire protocol, simple queries and no password.
+package postgres
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"cranegate/internal/clients"
+	"cranegate/internal/core"
+	"cranegate/internal/netbuf"
+	"cranegate/internal/pgwire"
+	"cranegate/internal/statement"
+)
+
+// The SQLSTATE codes of our own answers.
+const (
+	codeRefused     = "53300" // trying again is harmless
+	codeFailed      = "58000" // nothing is promised
+	codeSyntax      = "42601"
+	codeUnsupported = "0A000"
+	codeProtocol    = "08P01"
+	codeTooLarge    = "54000"
+)
+
+// Front speaks the platform's protocol.
+type Front struct{}
+
+// Limit bounds a message's size.
+func (Front) Limit() int { return pgwire.MaxMessage }
+
+// TurnAway refuses a client for which there is no room.
+func (Front) TurnAway(c net.Conn) {
+	c.Write(pgwire.AppendError(nil, "FATAL", codeRefused, "too many clients", ""))
+}
+
+// Serve talks to one client.
+func (Front) Serve(x *clients.Session) error {
+	c := &client{Session: x}
+	if ok, err := c.startup(); !ok || err != nil {
+		return c.fatal(err)
+	}
+	for {
+		var kind byte
+		var body []byte
+		err := x.Next(func() (err error) { kind, body, err = pgwire.ReadMessage(x.Conn); return err })
+		if err != nil {
+			return c.fatal(err)
+		}
+		c.out = c.out[:0]
+		switch kind {
+		case 'Q':
+			err = c.query(body)
+		case 'X':
+			return nil
+		case 'P', 'B', 'E', 'D', 'C', 'F':
+			if !c.skipping {
+				c.out = pgwire.AppendError(c.out, "ERROR", codeUnsupported, "simple queries only", "")
+			}
+			if c.skipping = kind != 'F'; !c.skipping {
+				c.out = pgwire.AppendReady(c.out)
+			}
+		case 'S':
+			c.skipping = false
+			c.out = pgwire.AppendReady(c.out)
+		case 'H', 'd', 'c', 'f': // nothing is owed for these
+		default:
+			return c.fatal(pgwire.ErrMalformed)
+		}
+		if err == nil && len(c.out) > 0 {
+			err = x.Send(c.out)
+		}
+		if err != nil {
+			return err
+		}
+		if cap(c.out) > 16<<10 {
+			c.out = nil
+		}
+	}
+}
+
+// client is one client's connection.
+type client struct {
+	*clients.Session
+	out      []byte
+	skipping bool // an extended query has failed: messages up to Sync are passed over
+}
+
+// startup reads the client's first messages and welcomes it. False says that it asked for nothing more.
+func (c *client) startup() (bool, error) {
+	for {
+		var code uint32
+		err := c.Next(func() (err error) { code, _, err = pgwire.ReadStartup(c.Conn); return err })
+		if err != nil {
+			return false, err
+		}
+		switch {
+		case code == pgwire.SSLRequest, code == pgwire.GSSENCRequest:
+			if err := c.Send([]byte{'N'}); err != nil {
+				return false, err
+			}
+			continue
+		case code == pgwire.CancelRequest: // no keys are given out, so there is nothing to cancel
+			return false, nil
+		case code>>16 != 3:
+			return false, pgwire.ErrMalformed
+		}
+		c.Started()
+		b := pgwire.Append(nil, 'R', "\x00\x00\x00\x00")
+		b = pgwire.AppendParameter(b, "server_version", "15.0 (cranegate)")
+		b = pgwire.AppendParameter(b, "server_encoding", "UTF8")
+		b = pgwire.AppendParameter(b, "client_encoding", "UTF8")
+		return true, c.Send(pgwire.AppendReady(b))
+	}
+}
+
+// fatal tells the client why its connection ends, where that is its doing.
+func (c *client) fatal(err error) error {
+	switch {
+	case errors.Is(err, netbuf.ErrTooLarge):
+		c.Send(pgwire.AppendError(nil, "FATAL", codeTooLarge, "message too large", ""))
+	case errors.Is(err, pgwire.ErrMalformed):
+		c.Send(pgwire.AppendError(nil, "FATAL", codeProtocol, "malformed message", ""))
+	}
+	return err
+}
+
+// query answers one simple query.
+func (c *client) query(body []byte) error {
+	text, rest, err := pgwire.Text(body)
+	if err != nil || len(rest) > 0 {
+		return c.fatal(pgwire.ErrMalformed)
+	}
+	if len(bytes.Trim(text, " \t\r\n;")) == 0 {
+		<-c.Core().Ready()
+		c.out = pgwire.AppendReady(pgwire.Append(c.out, 'I'))
+		return nil
+	}
+	s, err := statement.Parse(text)
+	if err == nil && !c.Core().HasClass(s.Class) {
+		err = errors.New("unknown class")
+	}
+	if err != nil {
+		c.Counters().Add("postgres_statements_unknown", 1)
+		c.out = pgwire.AppendReady(pgwire.AppendError(c.out, "ERROR", codeSyntax, err.Error(), ""))
+		return nil
+	}
+	a, err := c.Ask(&core.Request{Class: s.Class, Group: s.Group, Session: s.Key, Wait: s.Wait, After: s.After,
+		Repeat: s.Repeat, Payload: s})
+	if err != nil {
+		return err
+	}
+	switch a.Status {
+	case core.Served:
+		c.out = append(c.out, a.Value.([]byte)...)
+	case core.Refused:
+		after := ""
+		if a.ComeBack > 0 {
+			after = strconv.FormatInt(int64((a.ComeBack+time.Millisecond-1)/time.Millisecond), 10)
+		}
+		c.out = pgwire.AppendError(c.out, "ERROR", codeRefused, "refused, nothing has run", after)
+	case core.Failed:
+		c.out = pgwire.AppendError(c.out, "ERROR", codeFailed, "failed, it may have run", "")
+	}
+	c.out = pgwire.AppendReady(c.out)
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,131 @@
+// Package config reads what the gateway is told: the platform's configuration and the operator's file.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"cranegate/internal/list"
+	"cranegate/internal/wire"
+	"cranegate/rules"
+)
+
+// Limits are the platform's limits on this gateway.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Settings are the rules' configuration and what else the settings hold for a gateway on sockets.
+type Settings struct {
+	Rules          rules.Config
+	ConnectTimeout time.Duration
+	IdleClose      time.Duration // database hosts close idle connections after this at the latest
+	AnswerSlack    time.Duration
+}
+
+// Platform is the platform's configuration.
+type Platform struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Limits                  Limits
+	Known                   list.Snapshot
+	Settings                Settings
+}
+
+// Load reads the platform's configuration. Listen, Discovery and Name come from the environment where set.
+func Load(path string) (*Platform, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	return parse(text, os.Getenv)
+}
+
+func parse(text []byte, env func(string) string) (*Platform, error) {
+	var in struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        Limits
+		Known                         list.Snapshot
+		Settings                      map[string]any
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	if err := d.Decode(&in); err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	p := &Platform{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known}
+	for name, to := range map[string]*string{"PROXY_NAME": &p.Name, "PROXY_LISTEN": &p.Listen,
+		"PROXY_DISCOVERY": &p.Discovery} {
+		if v := env(name); v != "" {
+			*to = v
+		}
+	}
+	var err error
+	if p.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("reading the seed: %w", err)
+	}
+	if p.Settings, err = ReadSettings(in.Settings); err != nil {
+		return nil, fmt.Errorf("reading the settings: %w", err)
+	}
+	return p, nil
+}
+
+// ReadSettings reads the nested object of settings, named as on the simulator's wire.
+func ReadSettings(in map[string]any) (Settings, error) {
+	pairs := map[string]string{}
+	flatten(pairs, "", in)
+	var s Settings
+	var err error
+	if s.Rules, err = wire.Config(pairs); err != nil {
+		return s, err
+	}
+	for path, to := range map[string]*time.Duration{"policyLimits.connectTimeoutS": &s.ConnectTimeout,
+		"policyLimits.idleCloseS": &s.IdleClose, "rules.answerSlackS": &s.AnswerSlack} {
+		x, err := strconv.ParseFloat(pairs[path], 64)
+		if err != nil || x <= 0 {
+			return s, fmt.Errorf("setting %s=%q is no positive number", path, pairs[path])
+		}
+		*to = time.Duration(x * float64(time.Second))
+	}
+	return s, nil
+}
+
+// flatten turns nested settings into paths and values, as they stand on the simulator's wire: lists of plain
+// values are joined with commas, lists of objects put their length under .count.
+func flatten(pairs map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, x := range v {
+			flatten(pairs, strings.TrimPrefix(path+"."+name, "."), x)
+		}
+	case []map[string]any:
+		objects := make([]any, len(v))
+		for i, x := range v {
+			objects[i] = x
+		}
+		flatten(pairs, path, objects)
+	case []any:
+		var plain []string
+		for i, x := range v {
+			if o, ok := x.(map[string]any); ok {
+				flatten(pairs, path+"."+strconv.Itoa(i), o)
+				pairs[path+".count"] = strconv.Itoa(len(v))
+			} else {
+				plain = append(plain, strings.ReplaceAll(fmt.Sprint(x), ",", "_"))
+			}
+		}
+		if pairs[path+".count"] == "" {
+			pairs[path] = strings.Join(plain, ",")
+		}
+	case nil:
+	default:
+		pairs[path] = fmt.Sprint(v)
+	}
+}
--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,127 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"cranegate/rules"
+)
+
+// The states of an attempt. Whether it has begun settles whether it may have run.
+const (
+	waits int32 = iota // for a connection
+	begun              // its first byte may have been written
+	over               // without a byte written
+)
+
+// Attempt is one try of a request at a database host, or a probe where Request is nil. The host's connection
+// calls Begin before the first byte and Done at the end.
+type Attempt struct {
+	Request *Request
+	Member  string
+	Until   time.Time // when the gateway stops waiting for it
+
+	core   *Core
+	number int
+	sentAt time.Duration
+	state  atomic.Int32
+	closed bool // its outcome is settled; owned by the module's actor
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Outcome is how an attempt ended, as the host's connection saw it.
+type Outcome struct {
+	Result   rules.Result
+	Value    any // ResultOK: what the host gave
+	Role     rules.Role
+	Position int64 // Unix time in milliseconds, 0 if not told
+	Report   rules.Report
+}
+
+// Context ends when the attempt is given up: its connection must then close.
+func (a *Attempt) Context() context.Context { return a.ctx }
+
+// Begin is the last check before the first byte: false says that the attempt is over and must not be written.
+// It guards against sends to a host that began to drain, or for a request that ended, while it waited.
+func (a *Attempt) Begin() bool { return a.state.CompareAndSwap(waits, begun) }
+
+// Waiting says whether the attempt still wants a connection.
+func (a *Attempt) Waiting() bool { return a.state.Load() == waits }
+
+// Done hands in the outcome. Only the first counts, and none after the core has given the attempt up.
+func (a *Attempt) Done(o Outcome) { a.core.post(func() { a.settle(o) }) }
+
+// attempt makes an attempt that is given up at a time.
+func (c *Core) attempt(q *Request, member string, until time.Duration) *Attempt {
+	a := &Attempt{Request: q, Member: member, Until: c.clock.time(until), core: c, sentAt: c.now}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	c.timers.add(until, func() { a.abandon(rules.ResultTimeout) })
+	return a
+}
+
+// start hands an attempt to its host.
+func (c *Core) start(a *Attempt) {
+	list := slices.DeleteFunc(c.waiting[a.Member], func(x *Attempt) bool { return x.closed || !x.Waiting() })
+	c.waiting[a.Member] = append(list, a)
+	if !c.servers.Start(a) {
+		a.neverBegins(rules.ResultConnectFailed)
+	}
+}
+
+// neverBegins ends an attempt that waits for a connection; it does nothing to one that has begun.
+func (a *Attempt) neverBegins(result rules.Result) {
+	if !a.closed && a.state.CompareAndSwap(waits, over) {
+		a.finish(Outcome{Result: result})
+	}
+}
+
+// abandon gives an attempt up. One without a byte written has never run, and the module learns just that.
+func (a *Attempt) abandon(result rules.Result) {
+	if a.closed {
+		return
+	}
+	if a.state.CompareAndSwap(waits, over) {
+		result = rules.ResultMoot
+	}
+	a.finish(Outcome{Result: result})
+}
+
+// settle takes the outcome that the host's connection saw.
+func (a *Attempt) settle(o Outcome) {
+	if !a.closed {
+		a.finish(o)
+	}
+}
+
+// finish settles an attempt's outcome. The module hears of it after the event in hand.
+func (a *Attempt) finish(o Outcome) {
+	c := a.core
+	a.closed = true
+	a.cancel()
+	c.ended = append(c.ended, func() {
+		if a.Request == nil {
+			c.router.Probed(c.now, rules.ProbeResult{Member: a.Member, Result: o.Result, Took: c.now - a.sentAt,
+				Report: o.Report})
+			return
+		}
+		q := a.Request
+		q.out = slices.DeleteFunc(q.out, func(x *Attempt) bool { return x == a })
+		c.opt.Counters.Add(resultNames[o.Result], 1)
+		if o.Result == rules.ResultOK {
+			c.answer(q, Answer{Status: Served, Value: o.Value})
+		}
+		c.router.Outcome(c.now, rules.Outcome{Request: q.id, Attempt: a.number, Member: a.Member, Result: o.Result,
+			Took: c.now - a.sentAt, Closed: q.ended, Role: o.Role, Position: o.Position, Report: o.Report})
+		c.forget(q)
+	})
+}
+
+// resultNames are the counters of outcomes.
+var resultNames = map[rules.Result]string{rules.ResultOK: "attempts_ok", rules.ResultError: "attempts_error",
+	rules.ResultFull: "attempts_turned_away", rules.ResultTimeout: "attempts_timed_out",
+	rules.ResultConnectFailed: "attempts_not_connected", rules.ResultReset: "attempts_reset",
+	rules.ResultCancelled: "attempts_cancelled", rules.ResultMoot: "attempts_never_sent",
+	rules.ResultMiss: "attempts_missed"}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,360 @@
+// Package core drives the decision module. It deals in requests, attempts and outcomes and knows no wire.
+//
+// The module's actor is the one goroutine that runs Core.Run. It owns the module, its clock and timers, and the
+// table of open requests; it is the one place where a request gets its final answer, once. It never waits for
+// another actor: work goes to the database hosts through a call that may say no, and answers go back through
+// a call that must not block.
+package core
+
+import (
+	"context"
+	"log"
+	"time"
+
+	"cranegate/internal/stats"
+	"cranegate/rules"
+)
+
+// Status says how a request ended.
+type Status int
+
+// The statuses.
+const (
+	Served  Status = iota // with a value that a database host made for it
+	Refused               // nothing has run, or a repeat is harmless
+	Failed                // nothing is promised
+)
+
+// Answer is a request's final answer.
+type Answer struct {
+	Status   Status
+	Value    any           // Served: what the database host gave, in its protocol's form
+	ComeBack time.Duration // Refused: advice when to come back, 0 for none
+}
+
+// Request is one request that a front has taken in.
+type Request struct {
+	Class   string
+	Group   int
+	Session string
+	Arrived time.Time     // when its last byte was read
+	Wait    time.Duration // how long the client waits from then on, 0 for the class's deadline
+	After   int64         // Unix time in milliseconds that a session's read has to see, 0 for none
+	Repeat  bool
+	Payload any // the statement, in its protocol's form
+
+	// Reply takes the final answer. It is called once, by the module's actor, and must not block.
+	Reply func(Answer)
+
+	id       uint64
+	class    *rules.Class
+	deadline time.Duration
+	ended    bool
+	sent     int
+	out      []*Attempt
+}
+
+// Effect says what a repeat of the request does; known once the request is submitted.
+func (q *Request) Effect() rules.Effect { return q.class.Effect }
+
+// Host is a database host as discovery lists it.
+type Host struct {
+	Address string
+	Entry   rules.Entry
+}
+
+// List is news of the hosts.
+type List struct {
+	Kind  rules.ListKind
+	Hosts []Host
+}
+
+// Servers runs attempts at database hosts. None of its calls may block.
+type Servers interface {
+	// Update takes news of the list, before the module does.
+	Update(List)
+	// Start hands an attempt to a host; false says that it can't be taken and never ran.
+	Start(*Attempt) bool
+	// CloseIdle shuts idle connections to a host.
+	CloseIdle(member string)
+}
+
+// Options are what the core needs beside the module's own configuration.
+type Options struct {
+	Rules        rules.Config
+	Seed         uint64
+	AnswerSlack  time.Duration // a final answer may come this much after the client's deadline
+	ProbeTimeout time.Duration
+	Counters     *stats.Counters
+}
+
+// mailboxSize bounds what waits for the module's actor. Senders wait when it is full.
+const mailboxSize = 1024
+
+// Core is the module's actor.
+type Core struct {
+	opt      Options
+	classes  map[string]int
+	mailbox  chan func()
+	servers  Servers
+	router   *rules.Router
+	clock    clock
+	now      time.Duration
+	timers   timers
+	requests map[uint64]*Request
+	waiting  map[string][]*Attempt // by member: attempts that may not have begun
+	ended    []func()              // outcomes for the module, after the event in hand
+	lastID   uint64
+	ready    chan struct{} // closed when the first list has come
+	done     chan struct{}
+}
+
+// New makes the actor; Run starts it.
+func New(opt Options, servers Servers) (*Core, error) {
+	opt.Rules.PositionZero = 0 // the module's clock counts from the Unix epoch, and so do positions on sockets
+	c := &Core{opt: opt, classes: map[string]int{}, mailbox: make(chan func(), mailboxSize), servers: servers,
+		clock: newClock(), requests: map[uint64]*Request{}, waiting: map[string][]*Attempt{},
+		ready: make(chan struct{}), done: make(chan struct{})}
+	for i, k := range opt.Rules.Classes {
+		c.classes[k.Name] = i
+	}
+	c.now = c.clock.now()
+	var err error
+	c.router, err = rules.New(c.now, opt.Rules, opt.Seed, (*gateway)(c))
+	return c, err
+}
+
+// HasClass says whether requests of a class are known.
+func (c *Core) HasClass(name string) bool { _, ok := c.classes[name]; return ok }
+
+// Ready is closed once the module has a list and can serve.
+func (c *Core) Ready() <-chan struct{} { return c.ready }
+
+// post puts an event into the mailbox; it waits while that is full, and gives up once the actor has ended.
+func (c *Core) post(event func()) bool {
+	select {
+	case c.mailbox <- event:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// Submit hands in a request. False says that the core has ended and no answer will come.
+func (c *Core) Submit(q *Request) bool { return c.post(func() { c.request(q) }) }
+
+// Gone tells that the client has left: no answer is owed.
+func (c *Core) Gone(q *Request) { c.post(func() { c.gone(q) }) }
+
+// Members hands in news of the list.
+func (c *Core) Members(l List) { c.post(func() { c.members(l) }) }
+
+// Run is the actor's life. It ends with the context.
+func (c *Core) Run(ctx context.Context) error {
+	defer close(c.done)
+	wake := time.NewTimer(time.Hour)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-c.mailbox:
+			c.now = c.clock.now()
+			event()
+		case <-wake.C:
+			c.now = c.clock.now()
+		}
+		c.settle()
+		for t, ok := c.timers.due(c.now); ok; t, ok = c.timers.due(c.now) {
+			t()
+			c.settle()
+		}
+		wake.Reset(c.timers.next(c.clock.now()))
+	}
+}
+
+// settle tells the module of attempts that ended while it was acting: it must not be called from within.
+func (c *Core) settle() {
+	for len(c.ended) > 0 {
+		event := c.ended[0]
+		c.ended = c.ended[1:]
+		event()
+	}
+}
+
+// request takes in one request. The table holds it until its last attempt is over.
+func (c *Core) request(q *Request) {
+	class, ok := c.classes[q.Class]
+	if !ok || q.ended {
+		q.Reply(Answer{Status: Failed})
+		return
+	}
+	c.lastID++
+	q.id, q.class = c.lastID, &c.opt.Rules.Classes[class]
+	arrived := min(c.now, c.clock.at(q.Arrived))
+	if q.Wait <= 0 {
+		q.Wait = q.class.Deadline
+	}
+	q.deadline = arrived + q.Wait
+	in := rules.Request{ID: q.id, Class: class, Tenant: -1, Session: q.Session, Group: q.Group, Repeat: q.Repeat,
+		Remaining: q.deadline - c.now}
+	if q.After > 0 {
+		// A commit is rounded up and may lie a little ahead of this clock; zero would mean that there is none.
+		in.SinceWrite = max(1, c.now-time.Duration(q.After)*time.Millisecond)
+	}
+	c.requests[q.id] = q
+	c.opt.Counters.Add("requests", 1)
+	c.timers.add(q.deadline+c.opt.AnswerSlack/2, func() { c.overdue(q) })
+	c.router.Request(c.now, in)
+}
+
+// overdue guards against a request without an answer: the module gives one before, unless it is at fault.
+func (c *Core) overdue(q *Request) {
+	if q.ended {
+		return
+	}
+	c.opt.Counters.Add("overdue", 1)
+	log.Printf("event=overdue request=%d class=%s attempts=%d", q.id, q.Class, q.sent)
+	c.answer(q, Answer{Status: Failed})
+	c.router.ClientGone(c.now, q.id)
+	c.forget(q)
+}
+
+// gone takes a client's leaving.
+func (c *Core) gone(q *Request) {
+	if q.ended || q.id == 0 {
+		return
+	}
+	c.opt.Counters.Add("clients_gone", 1)
+	c.end(q)
+	c.router.ClientGone(c.now, q.id)
+	c.forget(q)
+}
+
+// members takes news of the list. What waits for a connection to a host that may not be sent anything new
+// never ran: that guards against a send after a drain was told.
+func (c *Core) members(l List) {
+	c.servers.Update(l)
+	m := rules.MemberList{Kind: l.Kind}
+	stays := map[string]bool{}
+	for _, h := range l.Hosts {
+		m.Entries = append(m.Entries, h.Entry)
+		stays[h.Entry.Member] = h.Entry.Phase == rules.PhaseOn
+	}
+	c.router.Members(c.now, m)
+	for member, attempts := range c.waiting {
+		on, listed := stays[member]
+		if on || !listed && l.Kind == rules.ListPatch {
+			continue
+		}
+		for _, a := range attempts {
+			a.neverBegins(rules.ResultMoot)
+		}
+	}
+	if l.Kind != rules.ListBroken {
+		select {
+		case <-c.ready:
+		default:
+			close(c.ready)
+		}
+	}
+}
+
+// answer gives the final answer. It is the only place that does.
+func (c *Core) answer(q *Request, a Answer) {
+	if q.ended {
+		return
+	}
+	c.end(q)
+	c.opt.Counters.Add([]string{"served", "refused", "failed"}[a.Status], 1)
+	c.opt.Counters.Took(c.now - q.deadline + q.Wait)
+	q.Reply(a)
+}
+
+// end marks a request as over. What still waits for a connection on its behalf never begins.
+func (c *Core) end(q *Request) {
+	q.ended = true
+	for _, a := range q.out {
+		a.neverBegins(rules.ResultMoot)
+	}
+}
+
+// forget drops a request once it is over with all its attempts.
+func (c *Core) forget(q *Request) {
+	if q.ended && len(q.out) == 0 {
+		delete(c.requests, q.id)
+	}
+}
+
+// gateway is the side of the core that the module acts through. The module calls it from within an event, so
+// whatever an action brings about at once is told to the module only after that event.
+type gateway Core
+
+// Send starts the next attempt of a request.
+func (g *gateway) Send(id uint64, member string, abandonAt time.Duration) {
+	c := (*Core)(g)
+	q := c.requests[id]
+	if q == nil {
+		log.Printf("event=send_unknown request=%d member=%s", id, member)
+		return
+	}
+	if abandonAt <= 0 || abandonAt > q.deadline {
+		abandonAt = q.deadline
+	}
+	a := c.attempt(q, member, abandonAt)
+	a.number = q.sent
+	q.sent++
+	q.out = append(q.out, a)
+	c.opt.Counters.Add("attempts", 1)
+	if q.ended || a.number >= c.opt.Rules.MaxAttempts || abandonAt <= c.now {
+		a.neverBegins(rules.ResultMoot)
+		return
+	}
+	c.start(a)
+}
+
+// Cancel abandons one attempt.
+func (g *gateway) Cancel(id uint64, number int) {
+	if q := g.requests[id]; q != nil {
+		for _, a := range q.out {
+			if a.number == number {
+				a.abandon(rules.ResultCancelled)
+			}
+		}
+	}
+}
+
+// Refuse gives a final answer that promises that nothing ran.
+func (g *gateway) Refuse(id uint64, comeBack time.Duration) {
+	if q := g.requests[id]; q != nil {
+		(*Core)(g).answer(q, Answer{Status: Refused, ComeBack: comeBack})
+	}
+}
+
+// Fail gives a final answer that promises nothing.
+func (g *gateway) Fail(id uint64) {
+	if q := g.requests[id]; q != nil {
+		(*Core)(g).answer(q, Answer{Status: Failed})
+	}
+}
+
+// Close shuts idle connections to a member.
+func (g *gateway) Close(member string) { g.servers.CloseIdle(member) }
+
+// Probe examines a member.
+func (g *gateway) Probe(member string) {
+	c := (*Core)(g)
+	c.opt.Counters.Add("probes", 1)
+	c.start(c.attempt(nil, member, c.now+c.opt.ProbeTimeout))
+}
+
+// SetTimer asks for a timer event.
+func (g *gateway) SetTimer(after time.Duration, name string) {
+	g.timers.add(g.now+after, func() { g.router.Timer(g.now, name) })
+}
+
+// Subscribe and LookUp have nothing to do: the list's actor holds a watch all the time.
+func (g *gateway) Subscribe(bool) {}
+func (g *gateway) LookUp()        {}
+
+// Log writes a line for people.
+func (g *gateway) Log(text string) { log.Printf("event=module text=%q", text) }
--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,232 @@
+// Package list follows discovery: its actor holds a watch all the time and hands news to the core.
+package list
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"cranegate/internal/core"
+	"cranegate/internal/netbuf"
+	"cranegate/internal/stats"
+	"cranegate/rules"
+)
+
+const (
+	waitFor    = 10 * time.Second       // one watch call; the agent answers sooner when there is news
+	patience   = 2 * time.Second        // past that an answer is overdue, and the call is made again
+	retryAfter = 100 * time.Millisecond // after a failed call: under the 200 ms that a watch lives on
+	dialFor    = time.Second
+	mostTold   = 1 << 20
+)
+
+// Snapshot is the list, or changes of it, in discovery's form.
+type Snapshot struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is one entry of the list.
+type Target struct {
+	UID         string  `json:"uid"`
+	Endpoint    string  `json:"endpoint"`
+	Zone        string  `json:"az"`
+	Group       int     `json:"pod_group"`
+	State       string  `json:"state"`
+	Capacity    float64 `json:"capacity_hint"`
+	BootMS      int64   `json:"boot_ms"`
+	Replication string  `json:"replication"`
+}
+
+var phases = map[string]rules.Phase{"SERVING": rules.PhaseOn, "DRAINING": rules.PhaseDraining, "DELETED": rules.PhaseOff}
+
+// List turns a snapshot into the core's form. An entry with an unknown state is taken as draining: nothing new
+// may be sent where that is in doubt.
+func (s Snapshot) List(kind rules.ListKind) core.List {
+	l := core.List{Kind: kind}
+	for _, t := range s.Targets {
+		phase, ok := phases[t.State]
+		if !ok {
+			log.Printf("event=list_state_unknown member=%q state=%q", t.UID, t.State)
+			phase = rules.PhaseDraining
+		}
+		l.Hosts = append(l.Hosts, core.Host{Address: t.Endpoint, Entry: rules.Entry{Member: t.UID, Group: t.Group,
+			Phase: phase, Zone: t.Zone, Size: t.Capacity, Leader: t.Replication == "primary",
+			StartedAt: time.Duration(t.BootMS) * time.Millisecond}})
+	}
+	return l
+}
+
+// Watcher is the list's actor.
+type Watcher struct {
+	Address  string
+	Rev      int64 // of the list known at the start
+	Tell     func(core.List)
+	Counters *stats.Counters
+}
+
+// Run follows the list until the context ends. While discovery is silent the old list stays.
+func (w *Watcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := w.follow(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		w.Counters.Add("list_calls_failed", 1)
+		log.Printf("event=list_call_failed error=%q", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryAfter):
+		}
+	}
+	return nil
+}
+
+// follow makes calls on one connection, each at once after the last answer.
+func (w *Watcher) follow(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialFor}
+	raw, err := d.DialContext(ctx, "tcp", w.Address)
+	if err != nil {
+		return fmt.Errorf("connecting to discovery: %w", err)
+	}
+	defer raw.Close()
+	defer context.AfterFunc(ctx, func() { raw.Close() })()
+	c := netbuf.New(raw, mostTold)
+	for {
+		target := "/discovery/hosts?after=" + strconv.FormatInt(w.Rev, 10) + "&wait_ms=" +
+			strconv.FormatInt(waitFor.Milliseconds(), 10)
+		if w.Rev < 0 {
+			target = "/discovery/hosts"
+		}
+		c.SetDeadline(time.Now().Add(waitFor + patience))
+		body, again, err := get(c, w.Address, target)
+		if err != nil {
+			return fmt.Errorf("asking discovery: %w", err)
+		}
+		var s Snapshot
+		if err := json.Unmarshal(body, &s); err != nil {
+			return fmt.Errorf("reading the list: %w", err)
+		}
+		if w.Rev = s.Rev; s.All {
+			w.Tell(s.List(rules.ListWhole))
+		} else if len(s.Targets) > 0 {
+			w.Tell(s.List(rules.ListPatch))
+		}
+		w.Counters.Add("list_answers", 1)
+		if !again {
+			return errors.New("discovery closed the connection")
+		}
+	}
+}
+
+// get makes one HTTP/1.1 call. The body holds until the connection's next read; the second result says whether
+// the connection can be used again.
+func get(c *netbuf.Conn, host, target string) (body []byte, again bool, err error) {
+	if _, err := c.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n")); err != nil {
+		return nil, false, err
+	}
+	status, err := line(c)
+	if err != nil {
+		return nil, false, err
+	}
+	version, code, _ := strings.Cut(status, " ")
+	code, _, _ = strings.Cut(code, " ")
+	again = version == "HTTP/1.1"
+	size, chunked := -1, false
+	for {
+		h, err := line(c)
+		if err != nil {
+			return nil, false, err
+		}
+		if h == "" {
+			break
+		}
+		name, value, _ := strings.Cut(h, ":")
+		value = strings.ToLower(strings.TrimSpace(value))
+		switch strings.ToLower(name) {
+		case "content-length":
+			if size, err = strconv.Atoi(value); err != nil || size < 0 || size > mostTold {
+				return nil, false, fmt.Errorf("content-length %q", value)
+			}
+		case "transfer-encoding":
+			chunked = value == "chunked"
+		case "connection":
+			again = value != "close"
+		}
+	}
+	switch {
+	case chunked:
+		body, err = chunks(c)
+	case size >= 0:
+		if body, err = c.Need(size); err == nil {
+			body = body[:size]
+			c.Skip(size)
+		}
+	default:
+		err = errors.New("an answer without a length")
+	}
+	if err == nil && code != "200" {
+		err = fmt.Errorf("status %q", code)
+	}
+	return body, again, err
+}
+
+// chunks reads a chunked body.
+func chunks(c *netbuf.Conn) ([]byte, error) {
+	var body []byte
+	for {
+		head, err := line(c)
+		if err != nil {
+			return nil, err
+		}
+		head, _, _ = strings.Cut(head, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(head), 16, 31)
+		if err != nil {
+			return nil, fmt.Errorf("chunk: %w", err)
+		}
+		if len(body)+int(n) > mostTold {
+			return nil, netbuf.ErrTooLarge
+		}
+		if n == 0 {
+			for { // trailers
+				if t, err := line(c); err != nil || t == "" {
+					return body, err
+				}
+			}
+		}
+		b, err := c.Need(int(n))
+		if err != nil {
+			return nil, err
+		}
+		body = append(body, b[:n]...)
+		c.Skip(int(n))
+		if end, err := line(c); err != nil || end != "" {
+			return nil, fmt.Errorf("chunk without an end: %w", errors.Join(err))
+		}
+	}
+}
+
+// line reads one line of at most 4 KiB.
+func line(c *netbuf.Conn) (string, error) {
+	for n := 1; ; n = c.Buffered() + 1 {
+		b, err := c.Need(n)
+		if err != nil {
+			return "", err
+		}
+		if i := strings.IndexByte(string(b[:min(len(b), 4096)]), '\n'); i >= 0 {
+			s := strings.TrimSuffix(string(b[:i]), "\r")
+			c.Skip(i + 1)
+			return s, nil
+		}
+		if len(b) >= 4096 {
+			return "", errors.New("a line over 4096 bytes")
+		}
+	}
+}
--- /dev/null
+++ b/internal/netbuf/netbuf.go
@@ -0,0 +1,132 @@
+// Package netbuf reads framed messages from a connection into one buffer that grows up to a bound, and lets
+// the goroutine that owns the connection wait for its peer and for its own mailbox at once.
+package netbuf
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// firstSize is what a connection's buffer takes at first; a buffer grown past it is given back once empty.
+const firstSize = 4 << 10
+
+// ErrTooLarge says that a message does not fit the connection's bound.
+var ErrTooLarge = errors.New("message over the size limit")
+
+var past = time.Unix(1, 0)
+
+// Conn is a connection with a read buffer. One goroutine owns it and reads; Wake and Close may come from any.
+type Conn struct {
+	net.Conn
+	buf   []byte // unread bytes are buf[r:w]
+	r, w  int
+	limit int
+
+	mu     sync.Mutex
+	parked bool
+}
+
+// New wraps a connection whose messages are limited to a size.
+func New(c net.Conn, limit int) *Conn { return &Conn{Conn: c, limit: limit} }
+
+// Buffered is the number of unread bytes in hand.
+func (c *Conn) Buffered() int { return c.w - c.r }
+
+// Need returns the unread bytes, at least n of them, without consuming any. The slice holds until the next
+// call. An error leaves what was read in place, so a read cut off by a deadline goes on later.
+func (c *Conn) Need(n int) ([]byte, error) {
+	if n > c.limit {
+		return nil, fmt.Errorf("%d bytes: %w", n, ErrTooLarge)
+	}
+	for c.Buffered() < n {
+		if err := c.fill(n); err != nil {
+			return nil, err
+		}
+	}
+	return c.buf[c.r:c.w], nil
+}
+
+// Skip consumes n bytes that Need returned. They stay valid until the next read.
+func (c *Conn) Skip(n int) { c.r += n }
+
+// fill reads once, after making room for n unread bytes in all.
+func (c *Conn) fill(n int) error {
+	if c.r == c.w {
+		if c.r, c.w = 0, 0; len(c.buf) > firstSize && n <= firstSize {
+			c.buf = nil
+		}
+	}
+	if n = max(n, c.Buffered()+1); n > c.limit {
+		return ErrTooLarge
+	}
+	if c.r+n > len(c.buf) {
+		to := c.buf
+		if n > len(c.buf) {
+			to = make([]byte, max(firstSize, min(c.limit, n+n/4)))
+		}
+		copy(to, c.buf[c.r:c.w])
+		c.buf, c.r, c.w = to, 0, c.w-c.r
+	}
+	got, err := c.Conn.Read(c.buf[c.w:])
+	c.w += got
+	if got > 0 {
+		return nil
+	}
+	return err
+}
+
+// Park waits until the peer sends or closes, the time passes (a zero time never does), or Wake is called and
+// woken holds. It returns nil in the first and last case. What woken tells must be set before Wake is called.
+func (c *Conn) Park(until time.Time, woken func() bool) error {
+	c.mu.Lock()
+	c.parked = true
+	err := c.SetReadDeadline(until)
+	c.mu.Unlock()
+	if err == nil && !woken() {
+		err = c.fill(0)
+	}
+	c.mu.Lock()
+	c.parked = false // a Wake that comes from now on must not cut a later read
+	c.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) && woken() {
+		return nil
+	}
+	return err
+}
+
+// Wake ends a Park. It does nothing to any other read.
+func (c *Conn) Wake() {
+	c.mu.Lock()
+	if c.parked {
+		c.SetReadDeadline(past) // fails only on a closed connection, whose Park has ended
+	}
+	c.mu.Unlock()
+}
+
+// Alive says whether the peer has neither closed nor sent anything since the last read. It guards against
+// writing to a connection whose close has come but was not read yet.
+func (c *Conn) Alive() bool {
+	if c.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var b [1]byte
+	err = raw.Control(func(fd uintptr) {
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/servers/postgres/postgres.go
@@ -0,0 +1,242 @@
+// Package postgres speaks PostgreSQL's wire protocol to database hosts.
+package postgres
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"cranegate/internal/core"
+	"cranegate/internal/netbuf"
+	"cranegate/internal/pgwire"
+	"cranegate/internal/servers"
+	"cranegate/internal/statement"
+	"cranegate/rules"
+)
+
+// The codes that settle an outcome; every other one may have run.
+const (
+	codeReadOnly    = "25006" // a write, and this is no primary
+	codeBehind      = "72000" // a read that it is too far behind for
+	codeTurnedAway  = "53300"
+	codeNotNow      = "57P03"
+	mostValue       = pgwire.MaxMessage
+	writeAtMost     = 5 * time.Second
+	probeText       = "SHOW pressure"
+	probeUser       = "svc"
+	defaultDatabase = "main"
+)
+
+// Conn is one connection to a database host.
+type Conn struct {
+	*netbuf.Conn
+	out []byte
+}
+
+// Dial opens a connection and waits until it is ready for a query.
+func Dial(ctx context.Context, address string) (servers.Conn, error) {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connecting: %w", err)
+	}
+	c := &Conn{Conn: netbuf.New(raw, pgwire.MaxMessage)}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	err = c.start()
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		raw.Close()
+		return nil, fmt.Errorf("starting up: %w", err)
+	}
+	return c, nil
+}
+
+// start says who we are and reads up to the first ReadyForQuery.
+func (c *Conn) start() error {
+	if _, err := c.Write(pgwire.AppendStartup(nil, probeUser, defaultDatabase)); err != nil {
+		return err
+	}
+	for {
+		kind, body, err := pgwire.ReadMessage(c.Conn)
+		switch {
+		case err != nil:
+			return err
+		case kind == 'Z':
+			return nil
+		case kind == 'E' && string(pgwire.Field(body, 'C')) == codeTurnedAway:
+			return servers.ErrTurnedAway
+		case kind == 'E':
+			return fmt.Errorf("error %s", pgwire.Field(body, 'C'))
+		case kind == 'R' && (len(body) != 4 || body[0]|body[1]|body[2]|body[3] != 0):
+			return errors.New("it wants a password")
+		}
+	}
+}
+
+// Exchange writes an attempt's statement, or the probe's, and reads up to ReadyForQuery. A break before the last
+// byte is written means that nothing ran; after it, that it may have.
+func (c *Conn) Exchange(a *core.Attempt) (core.Outcome, bool) {
+	if a.Request == nil {
+		c.out = pgwire.Append(c.out[:0], 'Q', probeText, "\x00")
+	} else {
+		s := a.Request.Payload.(*statement.Statement)
+		text := s.Append(make([]byte, 0, s.Len()), time.Until(a.Until))
+		c.out = pgwire.Append(c.out[:0], 'Q', string(text), "\x00")
+	}
+	c.SetWriteDeadline(time.Now().Add(writeAtMost))
+	c.SetReadDeadline(time.Time{}) // the core gives attempts up in time
+	n, err := c.Write(c.out)
+	whole := n == len(c.out)
+	if cap(c.out) > 16<<10 {
+		c.out = nil
+	}
+	if err != nil && !whole {
+		return core.Outcome{Result: rules.ResultConnectFailed}, false
+	}
+	var r reply
+	for {
+		kind, body, err := pgwire.ReadMessage(c.Conn)
+		if err != nil {
+			return r.outcome(a), false
+		}
+		if err := r.take(kind, body); err != nil {
+			return core.Outcome{Result: rules.ResultReset}, false
+		}
+		if kind == 'Z' {
+			return r.outcome(a), r.ended()
+		}
+	}
+}
+
+// reply gathers what comes back for one statement.
+type reply struct {
+	value    []byte // the messages of the answer, copied: they outlive the buffer
+	report   rules.Report
+	rows     int
+	complete bool
+	code     string
+	role     rules.Role
+	position int64
+	names    []string
+}
+
+func (r *reply) ended() bool { return r.complete || r.code != "" }
+
+// take reads one message of the answer.
+func (r *reply) take(kind byte, body []byte) error {
+	switch kind {
+	case 'T', 'D', 'C':
+		if len(r.value)+len(body) > mostValue {
+			return netbuf.ErrTooLarge
+		}
+		r.value = pgwire.AppendRaw(r.value, kind, body)
+		if kind == 'T' {
+			var err error
+			r.names, err = pgwire.Names(body)
+			return err
+		} else if kind == 'D' {
+			r.rows++
+			return r.row(body)
+		}
+		r.complete = true
+	case 'E':
+		if r.code = string(pgwire.Field(body, 'C')); r.code == "" {
+			return pgwire.ErrMalformed
+		}
+	case 'S':
+		name, value, err := pgwire.Parameter(body)
+		if err != nil {
+			return err
+		}
+		r.parameter(string(name), string(value))
+	}
+	return nil
+}
+
+// row reads a probe's report: one column with all of it, or a column a field.
+func (r *reply) row(body []byte) error {
+	columns, err := pgwire.Columns(body)
+	for i, v := range columns {
+		if len(v) > 256 {
+			continue
+		}
+		if len(r.names) == len(columns) && !strings.Contains(string(v), "=") {
+			r.field(r.names[i], string(v))
+		} else {
+			r.pressure(string(v))
+		}
+	}
+	return err
+}
+
+func (r *reply) parameter(name, value string) {
+	switch name {
+	case "replication_role":
+		switch value {
+		case "primary":
+			r.role = rules.RolePrimary
+		case "standby":
+			r.role = rules.RoleReplica
+		}
+	case "log_position":
+		if n, err := strconv.ParseInt(value, 10, 64); err == nil {
+			r.position = n
+		}
+	case "pressure":
+		r.pressure(value)
+	}
+}
+
+// pressure reads a load report: names and values.
+func (r *reply) pressure(text string) {
+	for _, pair := range strings.Split(text, ",") {
+		if name, value, ok := strings.Cut(pair, "="); ok {
+			r.field(strings.TrimSpace(name), value)
+		}
+	}
+}
+
+// field reads one field of a load report. Positions there are in seconds and are rounded down: a member must
+// not seem further ahead than it is.
+func (r *reply) field(name, value string) {
+	x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil {
+		return
+	}
+	switch name {
+	case "x0":
+		r.report.HasPosition, r.report.Position = true, int64(math.Floor(x*1000+1e-3))
+	case "x1":
+		r.report.Role = rules.RoleReplica
+		if x >= 0.5 {
+			r.report.Role = rules.RolePrimary
+		}
+	}
+}
+
+// outcome is the protocol's table of what comes back.
+func (r *reply) outcome(a *core.Attempt) core.Outcome {
+	o := core.Outcome{Role: r.role, Position: r.position, Report: r.report}
+	switch {
+	case r.code == codeReadOnly, r.code == codeBehind:
+		o.Result = rules.ResultMiss
+	case r.code == codeTurnedAway, r.code == codeNotNow && a.Request == nil:
+		o.Result = rules.ResultFull
+	case r.code != "":
+		o.Result = rules.ResultError
+	case r.complete && r.rows == 1:
+		o.Result, o.Value = rules.ResultOK, r.value
+	case r.complete:
+		o.Result = rules.ResultError // no row is no answer, though it ran
+	default:
+		o.Result = rules.ResultReset
+	}
+	return o
+}
--- /dev/null
+++ b/internal/servers/servers.go
@@ -0,0 +1,342 @@
+// Package servers runs attempts at the database hosts. Each host is an actor that owns its connections; each
+// connection has a goroutine of its own that waits for an attempt and for the peer's close at once.
+package servers
+
+import (
+	"context"
+	"errors"
+	"log"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranegate/internal/core"
+	"cranegate/internal/stats"
+	"cranegate/rules"
+)
+
+// Conn is one connection to a host, in the host's protocol. One goroutine calls it, but for Wake and Close.
+type Conn interface {
+	// Park waits until woken holds after a Wake (nil), the time passes, or the peer closes or sends anything.
+	Park(until time.Time, woken func() bool) error
+	// Wake ends a Park.
+	Wake()
+	// Alive says whether the peer has neither closed nor sent anything.
+	Alive() bool
+	// Exchange writes an attempt that has begun and reads what comes back. The second result says whether the
+	// connection is in step for another.
+	Exchange(a *core.Attempt) (core.Outcome, bool)
+	Close() error
+}
+
+// Dialer opens a connection that is ready for an attempt.
+type Dialer func(ctx context.Context, address string) (Conn, error)
+
+// ErrTurnedAway is what a Dialer returns where the host itself turned the connection away.
+var ErrTurnedAway = errors.New("turned away by the database host")
+
+// Options are the pool's settings.
+type Options struct {
+	Dial           Dialer
+	ConnectTimeout time.Duration
+	IdleFor        time.Duration // an idle connection is closed after this, well before the host would
+	MostOpen       int           // connections to all hosts together
+	MostIdle       int           // idle connections to one host
+	Counters       *stats.Counters
+}
+
+// mailboxSize bounds what waits for a host's actor.
+const mailboxSize = 1024
+
+// Pool holds the hosts. It implements core.Servers; the module's actor alone calls those methods.
+type Pool struct {
+	opt   Options
+	hosts map[string]*host
+	slots chan struct{} // one for each open connection
+	group *errgroup.Group
+	ctx   context.Context
+}
+
+// New makes a pool whose actors live until the context ends.
+func New(ctx context.Context, opt Options) *Pool {
+	g, ctx := errgroup.WithContext(ctx)
+	return &Pool{opt: opt, hosts: map[string]*host{}, slots: make(chan struct{}, opt.MostOpen), group: g, ctx: ctx}
+}
+
+// Wait returns once the actors have ended, after the context.
+func (p *Pool) Wait() error { return p.group.Wait() }
+
+// Update takes news of the list: a new address means new connections, and a host that is gone is let go.
+func (p *Pool) Update(l core.List) {
+	listed := map[string]bool{}
+	for _, x := range l.Hosts {
+		name := x.Entry.Member
+		old := p.hosts[name]
+		if x.Entry.Phase == rules.PhaseOff || old != nil && old.address != x.Address {
+			p.drop(name)
+		}
+		if x.Entry.Phase != rules.PhaseOff {
+			listed[name] = true
+			if p.hosts[name] == nil {
+				p.add(name, x.Address)
+			}
+		}
+	}
+	if l.Kind == rules.ListWhole || l.Kind == rules.ListStale {
+		for name := range p.hosts {
+			if !listed[name] {
+				p.drop(name)
+			}
+		}
+	}
+}
+
+func (p *Pool) add(name, address string) {
+	h := &host{pool: p, name: name, address: address, mailbox: make(chan any, mailboxSize)}
+	h.ctx, h.retire = context.WithCancel(p.ctx)
+	p.hosts[name] = h
+	p.group.Go(h.run)
+}
+
+func (p *Pool) drop(name string) {
+	if h := p.hosts[name]; h != nil {
+		h.retire()
+		delete(p.hosts, name)
+	}
+}
+
+// Start hands an attempt to a host's actor.
+func (p *Pool) Start(a *core.Attempt) bool {
+	h := p.hosts[a.Member]
+	return h != nil && h.tell(a)
+}
+
+// CloseIdle shuts idle connections to a host.
+func (p *Pool) CloseIdle(member string) {
+	if h := p.hosts[member]; h != nil {
+		h.tell(closeIdle{})
+	}
+}
+
+// host is one database host's actor.
+type host struct {
+	pool          *Pool
+	name, address string
+	mailbox       chan any
+	ctx           context.Context // ends when the host is gone from the list
+	retire        context.CancelFunc
+
+	idle    []*link // the one used last is at the end
+	waiting []*core.Attempt
+	links   int // connections open or being opened
+}
+
+// What a host's mailbox takes, beside attempts.
+type (
+	closeIdle struct{}
+	opened    struct{ l *link }   // a connection is up
+	notOpened struct{ err error } // or is not
+	freed     struct{ l *link }   // a connection can take another attempt
+	lost      struct{ l *link }   // a connection has ended
+)
+
+// tell puts a message into the mailbox without waiting.
+func (h *host) tell(m any) bool {
+	select {
+	case h.mailbox <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// run is the actor's life: until the host is gone and its last connection has ended.
+func (h *host) run() error {
+	gone := h.ctx.Done()
+	for gone != nil || h.links > 0 {
+		select {
+		case m := <-h.mailbox:
+			h.take(m)
+		case <-gone:
+			gone = nil
+			h.closeIdle(0)
+		}
+	}
+	for { // what came too late never ran
+		select {
+		case m := <-h.mailbox:
+			if a, ok := m.(*core.Attempt); ok {
+				h.fail(a, rules.ResultConnectFailed)
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+func (h *host) take(m any) {
+	switch m := m.(type) {
+	case *core.Attempt:
+		h.place(m)
+	case closeIdle:
+		h.closeIdle(0)
+	case opened:
+		h.free(m.l)
+	case freed:
+		h.free(m.l)
+	case notOpened:
+		h.links--
+		h.notOpened(m.err)
+	case lost:
+		h.links--
+		h.drop(m.l)
+		select {
+		case a := <-m.l.jobs: // it was handed over as the connection ended, and never began
+			h.place(a)
+		default:
+		}
+	}
+}
+
+// place gives an attempt an idle connection, or opens one and lets it wait for whichever is free first.
+func (h *host) place(a *core.Attempt) {
+	if !a.Waiting() {
+		return
+	}
+	if n := len(h.idle); n > 0 {
+		l := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		l.give(a)
+		return
+	}
+	if h.ctx.Err() != nil {
+		h.fail(a, rules.ResultConnectFailed)
+		return
+	}
+	h.waiting = append(h.waiting, a)
+	h.links++
+	h.pool.group.Go(func() error { h.open(); return nil })
+}
+
+// next takes the oldest attempt that still waits.
+func (h *host) next() *core.Attempt {
+	for len(h.waiting) > 0 {
+		a := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		if a.Waiting() {
+			return a
+		}
+	}
+	return nil
+}
+
+// free uses a connection for the oldest waiting attempt, or keeps it idle.
+func (h *host) free(l *link) {
+	if a := h.next(); a != nil {
+		l.give(a)
+		return
+	}
+	h.idle = append(h.idle, l)
+	if h.ctx.Err() != nil {
+		h.closeIdle(0)
+	} else {
+		h.closeIdle(h.pool.opt.MostIdle)
+	}
+}
+
+// closeIdle closes idle connections but for a number of them. The oldest go first.
+func (h *host) closeIdle(keep int) {
+	for len(h.idle) > keep {
+		l := h.idle[0]
+		h.idle = h.idle[1:]
+		l.conn.Close()
+	}
+}
+
+func (h *host) drop(l *link) {
+	for i, x := range h.idle {
+		if x == l {
+			h.idle = append(h.idle[:i:i], h.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// notOpened takes a connection that did not come up: the oldest attempt has waited for it.
+func (h *host) notOpened(err error) {
+	result := rules.ResultConnectFailed
+	if errors.Is(err, ErrTurnedAway) {
+		result = rules.ResultFull
+	}
+	h.pool.opt.Counters.Add("server_connects_failed", 1)
+	if a := h.next(); a != nil {
+		log.Printf("event=connect_failed member=%s error=%q", h.name, err)
+		h.fail(a, result)
+	}
+}
+
+// fail ends an attempt that was never written. The core hears of it from a goroutine of its own, as this actor
+// must not wait for the core, which may be telling it something.
+func (h *host) fail(a *core.Attempt, result rules.Result) {
+	if a.Begin() {
+		h.pool.group.Go(func() error { a.Done(core.Outcome{Result: result}); return nil })
+	}
+}
+
+// open opens one connection and serves it. It belongs to the host, not to an attempt.
+func (h *host) open() {
+	ctx, cancel := context.WithTimeout(h.ctx, h.pool.opt.ConnectTimeout)
+	defer cancel()
+	select {
+	case h.pool.slots <- struct{}{}:
+	case <-ctx.Done():
+		h.mailbox <- notOpened{errors.New("no descriptor left for a connection")}
+		return
+	}
+	defer func() { <-h.pool.slots }()
+	conn, err := h.pool.opt.Dial(ctx, h.address)
+	if err != nil {
+		h.mailbox <- notOpened{err}
+		return
+	}
+	h.pool.opt.Counters.Add("server_connects", 1)
+	l := &link{conn: conn, jobs: make(chan *core.Attempt, 1)}
+	h.mailbox <- opened{l}
+	l.run(h)
+	conn.Close()
+	h.mailbox <- lost{l}
+}
+
+// link is one open connection.
+type link struct {
+	conn Conn
+	jobs chan *core.Attempt // holds one; the host gives the next only to an idle link
+}
+
+func (l *link) give(a *core.Attempt) {
+	l.jobs <- a
+	l.conn.Wake()
+}
+
+// run takes attempts until the connection ends, is given up, or has stood idle for too long.
+func (l *link) run(h *host) {
+	for {
+		err := l.conn.Park(time.Now().Add(h.pool.opt.IdleFor), func() bool { return len(l.jobs) > 0 })
+		if err != nil || !l.conn.Alive() {
+			return // an attempt just handed over goes to another connection
+		}
+		a := <-l.jobs
+		if !a.Begin() {
+			h.mailbox <- freed{l}
+			continue
+		}
+		stop := context.AfterFunc(a.Context(), func() { l.conn.Close() })
+		out, inStep := l.conn.Exchange(a)
+		if !stop() || !inStep {
+			a.Done(out)
+			return
+		}
+		h.mailbox <- freed{l} // first, so that the core finds it free
+		a.Done(out)
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"silverhold/rules"
+	"cranegate/rules"
 )
 
 // settings are the raw path=value pairs of an instance; err keeps the first fault met while reading them.
@@ -28,6 +28,12 @@
 	return s, nil
 }
 
+// Config turns settings, by their paths on the wire, into the module's configuration. The real gateway finds
+// the same settings in its configuration file.
+func Config(pairs map[string]string) (rules.Config, error) {
+	return (&settings{values: pairs}).config()
+}
+
 func (s *settings) fail(path string, err error) {
 	if s.err == nil {
 		s.err = fmt.Errorf("setting %s: %w", path, err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"silverhold/rules"
+	"cranegate/rules"
 )
 
 // Event is one event for one instance. What holds one of the types below or of the rules package.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"silverhold/rules"
+	"cranegate/rules"
 )
 
 // Settings is a small whole set, in the wire's form.
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"silverhold/rules"
+	"cranegate/rules"
 )
 
 // printer is a gateway that prints what it is asked to do.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,4 +1,4 @@
-// The decisions of silverhold. The types at the edge (Config, events, Gateway) stand in interface.go.
+// The decisions of cranegate. The types at the edge (Config, events, Gateway) stand in interface.go.
 //
 // Read top to bottom: constants, state, events, evidence, primary, read choice, attempts, admission, lists.
 package rules
