--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -132,7 +132,7 @@
 	if _, err := c.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n")); err != nil {
 		return nil, false, err
 	}
-	status, err := line(c)
+	status, err := c.Line()
 	if err != nil {
 		return nil, false, err
 	}
@@ -141,7 +141,7 @@
 	again = version == "HTTP/1.1"
 	size, chunked := -1, false
 	for {
-		h, err := line(c)
+		h, err := c.Line()
 		if err != nil {
 			return nil, false, err
 		}
@@ -182,7 +182,7 @@
 func chunks(c *netbuf.Conn) ([]byte, error) {
 	var body []byte
 	for {
-		head, err := line(c)
+		head, err := c.Line()
 		if err != nil {
 			return nil, err
 		}
@@ -196,7 +196,7 @@
 		}
 		if n == 0 {
 			for { // trailers
-				if t, err := line(c); err != nil || t == "" {
+				if t, err := c.Line(); err != nil || t == "" {
 					return body, err
 				}
 			}
@@ -207,26 +207,10 @@
 		}
 		body = append(body, b[:n]...)
 		c.Skip(int(n))
-		if end, err := line(c); err != nil || end != "" {
-			return nil, fmt.Errorf("chunk without an end: %w", errors.Join(err))
-		}
-	}
-}
-
-// line reads one line of at most 4 KiB.
-func line(c *netbuf.Conn) (string, error) {
-	for n := 1; ; n = c.Buffered() + 1 {
-		b, err := c.Need(n)
-		if err != nil {
-			return "", err
-		}
-		if i := strings.IndexByte(string(b[:min(len(b), 4096)]), '\n'); i >= 0 {
-			s := strings.TrimSuffix(string(b[:i]), "\r")
-			c.Skip(i + 1)
-			return s, nil
-		}
-		if len(b) >= 4096 {
-			return "", errors.New("a line over 4096 bytes")
+		if end, err := c.Line(); err != nil {
+			return nil, err
+		} else if end != "" {
+			return nil, errors.New("chunk without an end")
 		}
 	}
 }
--- a/internal/netbuf/netbuf.go
+++ b/internal/netbuf/netbuf.go
@@ -3,10 +3,12 @@
 package netbuf
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -51,6 +53,25 @@
 	return c.buf[c.r:c.w], nil
 }
 
+// Line consumes one line of at most 4 KiB and returns it without its end.
+func (c *Conn) Line() (string, error) {
+	const most = 4 << 10
+	for seen := 0; ; {
+		b, err := c.Need(seen + 1)
+		if err != nil {
+			return "", err
+		}
+		if i := bytes.IndexByte(b[seen:], '\n'); i >= 0 {
+			s := strings.TrimSuffix(string(b[:seen+i]), "\r")
+			c.Skip(seen + i + 1)
+			return s, nil
+		}
+		if seen = len(b); seen >= most {
+			return "", fmt.Errorf("line: %w", ErrTooLarge)
+		}
+	}
+}
+
 // Skip consumes n bytes that Need returned. They stay valid until the next read.
 func (c *Conn) Skip(n int) { c.r += n }
 
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -5,10 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net"
-	"strconv"
-	"strings"
 	"time"
 
 	"cranegate/internal/core"
@@ -90,6 +87,10 @@
 		text := s.Append(make([]byte, 0, s.Len()), time.Until(a.Until))
 		c.out = pgwire.Append(c.out[:0], 'Q', string(text), "\x00")
 	}
+	if !a.Begin() {
+		return core.Outcome{}, true
+	}
+	stop := context.AfterFunc(a.Context(), func() { c.Close() }) // this is how an attempt is given up
 	c.SetWriteDeadline(time.Now().Add(writeAtMost))
 	c.SetReadDeadline(time.Time{}) // the core gives attempts up in time
 	n, err := c.Write(c.out)
@@ -100,7 +101,7 @@
 	if err != nil && !whole {
 		return core.Outcome{Result: rules.ResultConnectFailed}, false
 	}
-	var r reply
+	r := reply{probe: a.Request == nil}
 	for {
 		kind, body, err := pgwire.ReadMessage(c.Conn)
 		if err != nil {
@@ -110,20 +111,19 @@
 			return core.Outcome{Result: rules.ResultReset}, false
 		}
 		if kind == 'Z' {
-			return r.outcome(a), r.ended()
+			return r.outcome(a), stop() && r.ended()
 		}
 	}
 }
 
 // reply gathers what comes back for one statement.
 type reply struct {
+	probe    bool
 	value    []byte // the messages of the answer, copied: they outlive the buffer
-	report   rules.Report
+	note     servers.Note
 	rows     int
 	complete bool
 	code     string
-	role     rules.Role
-	position int64
 	names    []string
 }
 
@@ -143,7 +143,11 @@
 			return err
 		} else if kind == 'D' {
 			r.rows++
-			return r.row(body)
+			columns, err := pgwire.Columns(body)
+			if r.probe {
+				r.note.Row(r.names, columns)
+			}
+			return err
 		}
 		r.complete = true
 	case 'E':
@@ -155,75 +159,14 @@
 		if err != nil {
 			return err
 		}
-		r.parameter(string(name), string(value))
+		r.note.Set(string(name), string(value))
 	}
 	return nil
 }
 
-// row reads a probe's report: one column with all of it, or a column a field.
-func (r *reply) row(body []byte) error {
-	columns, err := pgwire.Columns(body)
-	for i, v := range columns {
-		if len(v) > 256 {
-			continue
-		}
-		if len(r.names) == len(columns) && !strings.Contains(string(v), "=") {
-			r.field(r.names[i], string(v))
-		} else {
-			r.pressure(string(v))
-		}
-	}
-	return err
-}
-
-func (r *reply) parameter(name, value string) {
-	switch name {
-	case "replication_role":
-		switch value {
-		case "primary":
-			r.role = rules.RolePrimary
-		case "standby":
-			r.role = rules.RoleReplica
-		}
-	case "log_position":
-		if n, err := strconv.ParseInt(value, 10, 64); err == nil {
-			r.position = n
-		}
-	case "pressure":
-		r.pressure(value)
-	}
-}
-
-// pressure reads a load report: names and values.
-func (r *reply) pressure(text string) {
-	for _, pair := range strings.Split(text, ",") {
-		if name, value, ok := strings.Cut(pair, "="); ok {
-			r.field(strings.TrimSpace(name), value)
-		}
-	}
-}
-
-// field reads one field of a load report. Positions there are in seconds and are rounded down: a member must
-// not seem further ahead than it is.
-func (r *reply) field(name, value string) {
-	x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-	if err != nil {
-		return
-	}
-	switch name {
-	case "x0":
-		r.report.HasPosition, r.report.Position = true, int64(math.Floor(x*1000+1e-3))
-	case "x1":
-		r.report.Role = rules.RoleReplica
-		if x >= 0.5 {
-			r.report.Role = rules.RolePrimary
-		}
-	}
-}
-
 // outcome is the protocol's table of what comes back.
 func (r *reply) outcome(a *core.Attempt) core.Outcome {
-	o := core.Outcome{Role: r.role, Position: r.position, Report: r.report}
+	o := core.Outcome{Role: r.note.Role, Position: r.note.Position, Report: r.note.Report}
 	switch {
 	case r.code == codeReadOnly, r.code == codeBehind:
 		o.Result = rules.ResultMiss
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -23,8 +23,9 @@
 	Wake()
 	// Alive says whether the peer has neither closed nor sent anything.
 	Alive() bool
-	// Exchange writes an attempt that has begun and reads what comes back. The second result says whether the
-	// connection is in step for another.
+	// Exchange runs an attempt: it calls Begin before the first byte that may have an effect, and reads what
+	// comes back. The second result says whether the connection is in step for another attempt. When the
+	// attempt is given up Exchange ends soon.
 	Exchange(a *core.Attempt) (core.Outcome, bool)
 	Close() error
 }
@@ -326,13 +327,12 @@
 			return // an attempt just handed over goes to another connection
 		}
 		a := <-l.jobs
-		if !a.Begin() {
+		if !a.Waiting() {
 			h.mailbox <- freed{l}
 			continue
 		}
-		stop := context.AfterFunc(a.Context(), func() { l.conn.Close() })
 		out, inStep := l.conn.Exchange(a)
-		if !stop() || !inStep {
+		if !inStep {
 			a.Done(out)
 			return
 		}
