Wire up the MySQL front with prepared statements and the balancers' checks

The operator's file (deploy/operator.toml, flag -operator) sets up the second front, its hosts, HAProxy's agent-check and the health endpoint; the platform's run does not name it, so all of it is off there.

A prepare is a request of a class of its own, as its short round trips would otherwise pass for those of the statements. An execute's attempt begins after the prepare on its connection, so a prepare that fails proves that nothing ran.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -9,98 +9,194 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"cranegate/internal/balancers"
 	"cranegate/internal/clients"
+	"cranegate/internal/clients/mysql"
 	"cranegate/internal/clients/postgres"
 	"cranegate/internal/config"
 	"cranegate/internal/core"
 	"cranegate/internal/list"
 	"cranegate/internal/servers"
+	myservers "cranegate/internal/servers/mysql"
 	pgservers "cranegate/internal/servers/postgres"
 	"cranegate/internal/stats"
 	"cranegate/rules"
 )
 
 const (
-	reserve     = 64              // descriptors for the list, the listeners, the balancers and the runtime
-	mostSockets = 1024            // no more is used where the platform allows more
-	mostIdle    = 24              // idle connections to one host
-	exitAfter   = 3 * time.Second // after the last deadline could have passed, a stop ends all the same
+	reserve     = 64                      // descriptors for the list, the listeners, the checks and the runtime
+	mostSockets = 1024                    // no more is used where the platform allows more
+	mostMemory  = 192                     // megabytes, likewise
+	mostIdle    = 24                      // idle connections to one host
+	exitAfter   = 3500 * time.Millisecond // after a stop: past every deadline, and before the platform kills
 )
 
-// run reads the configuration and serves until the context ends and all that was taken is answered.
-func run(ctx context.Context) error {
-	p, err := config.Load(os.Getenv("PROXY_CONFIG"))
-	if err != nil {
-		return err
+// gateway is the running program.
+type gateway struct {
+	counters *stats.Counters
+	status   *balancers.Status
+	slots    chan struct{} // descriptors for clients
+	servers  int           // descriptors for the database hosts of each protocol
+	stop     context.Context
+	work     context.Context // outlives stop: what was taken is still answered
+	actors   *errgroup.Group // live as long as work
+	fronts   *errgroup.Group // end some time after stop
+}
+
+// fleet is the database hosts of one protocol with the front that serves them.
+type fleet struct {
+	name, listen, discovery string
+	settings                config.Settings
+	seed                    uint64
+	known                   list.Snapshot
+	dial                    servers.Dialer
+	front                   clients.Front
+}
+
+// run serves until stop ends and all that was taken is answered.
+func run(stop context.Context, p *config.Platform, o *config.Operator) error {
+	var fleets []fleet
+	var limits config.Limits
+	if p != nil {
+		limits = p.Limits
+		fleets = append(fleets, fleet{name: "postgres", listen: p.Listen, discovery: p.Discovery, settings: p.Settings,
+			seed: p.Seed, known: p.Known, dial: pgservers.Dial, front: postgres.Front{}})
+	} else {
+		limits = o.Limits
 	}
-	memory := p.Limits.MemoryMB
-	if memory <= 0 {
-		memory = 192
+	if o != nil && o.MySQL != nil {
+		fleets = append(fleets, mysqlFleet(o))
 	}
-	runtime.GOMAXPROCS(max(1, int(p.Limits.Cores+0.5)))
-	debug.SetMemoryLimit(int64(memory) * 3 / 4 << 20) // the rest is stacks, code and the system's buffers
-	counters := &stats.Counters{}
-	go logOnRequest(ctx, counters)
-	defer counters.Log("counters")
-
-	sockets := p.Limits.Sockets
-	if sockets <= 0 || sockets > mostSockets {
-		sockets = mostSockets
+	if limits.MemoryMB <= 0 || limits.MemoryMB > mostMemory {
+		limits.MemoryMB = mostMemory
+	}
+	if limits.Sockets <= 2*reserve || limits.Sockets > mostSockets {
+		limits.Sockets = mostSockets
 	}
-	slots := make(chan struct{}, (sockets-reserve)/2)
+	runtime.GOMAXPROCS(max(1, int(limits.Cores+0.5)))
+	debug.SetMemoryLimit(int64(limits.MemoryMB) << 20 * 3 / 4) // the rest is for what the runtime does not count
 
-	work, cancel := context.WithCancel(context.Background()) // outlives ctx: what was taken is still answered
+	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	pool := servers.New(work, servers.Options{Dial: pgservers.Dial, ConnectTimeout: p.Settings.ConnectTimeout,
-		IdleFor: p.Settings.IdleClose * 2 / 3, MostOpen: (sockets - reserve) / 2, MostIdle: mostIdle, Counters: counters})
-	c, err := core.New(core.Options{Rules: p.Settings.Rules, Seed: p.Seed, AnswerSlack: p.Settings.AnswerSlack,
-		ProbeTimeout: p.Settings.ConnectTimeout, Counters: counters}, pool)
-	if err != nil {
+	half := (limits.Sockets - reserve) / 2
+	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, slots: make(chan struct{}, half),
+		servers: half / max(1, len(fleets)), stop: stop, work: work, fronts: &errgroup.Group{}}
+	g.actors, _ = errgroup.WithContext(work)
+	g.status.Free = func() float64 { return 1 - float64(len(g.slots))/float64(cap(g.slots)) }
+	g.actors.Go(func() error { g.logOnRequest(); return nil })
+	defer g.counters.Log("counters")
+	if o != nil {
+		if err := g.checks(o); err != nil {
+			return err
+		}
+	}
+	for _, f := range fleets {
+		if err := g.serve(f); err != nil {
+			return fmt.Errorf("serving %s: %w", f.name, err)
+		}
+	}
+	g.status.Set(balancers.Ready)
+	log.Printf("event=serving fronts=%d memory_mb=%d sockets=%d", len(fleets), limits.MemoryMB, limits.Sockets)
+	<-stop.Done()
+	g.status.Set(balancers.Draining)
+	log.Printf("event=stopping")
+	ended := make(chan error, 1)
+	go func() { ended <- g.fronts.Wait() }()
+	select {
+	case err := <-ended:
 		return err
+	case <-time.After(exitAfter):
+		log.Printf("event=stopped_with_clients")
+		return nil
 	}
-	background, _ := errgroup.WithContext(work)
-	background.Go(func() error { return c.Run(work) })
-	c.Members(p.Known.List(rules.ListStale))
-	w := &list.Watcher{Address: p.Discovery, Rev: p.Known.Rev, Tell: c.Members, Counters: counters}
-	background.Go(func() error { return w.Run(work) })
+}
 
-	<-c.Ready()
-	l, err := net.Listen("tcp", p.Listen)
+// mysqlFleet sets up the second front. Its prepares are a class of their own, so that their short round trips
+// are not taken for those of statements.
+func mysqlFleet(o *config.Operator) fleet {
+	m, s := o.MySQL, *o.Settings
+	s.Rules.Classes = append(slices.Clone(s.Rules.Classes), rules.Class{Name: mysql.PrepareClass,
+		Need: rules.NeedAny, Aim: m.PrepareAim(), Deadline: m.PrepareDeadline(), Worth: 1, Effect: rules.Repeatable})
+	known := list.Snapshot{Rev: -1, All: true, Targets: m.Hosts}
+	dialer := myservers.Dialer{User: m.User, Database: m.Database, Probe: m.Probe, PrepareFor: s.ConnectTimeout}
+	return fleet{name: "mysql", listen: m.Listen, discovery: m.Discovery, settings: s, seed: o.Seed, known: known,
+		dial: dialer.Dial, front: mysql.Front{}}
+}
+
+// serve starts the actors of one fleet, and its front once the module can serve.
+func (g *gateway) serve(f fleet) error {
+	pool := servers.New(g.work, servers.Options{Dial: f.dial, ConnectTimeout: f.settings.ConnectTimeout,
+		IdleFor: f.settings.IdleClose * 2 / 3, MostOpen: g.servers, MostIdle: mostIdle, Counters: g.counters})
+	c, err := core.New(core.Options{Rules: f.settings.Rules, Seed: f.seed, AnswerSlack: f.settings.AnswerSlack,
+		ProbeTimeout: f.settings.ConnectTimeout, Counters: g.counters}, pool)
 	if err != nil {
-		return fmt.Errorf("listening: %w", err)
+		return err
+	}
+	g.actors.Go(func() error { return c.Run(g.work) })
+	if len(f.known.Targets) > 0 {
+		c.Members(f.known.List(rules.ListStale))
+	}
+	if f.discovery != "" {
+		w := &list.Watcher{Address: f.discovery, Rev: f.known.Rev, Tell: c.Members, Counters: g.counters}
+		g.actors.Go(func() error { return w.Run(g.work) })
 	}
-	log.Printf("event=serving name=%s listen=%s members=%d memory_mb=%d sockets=%d", p.Name, p.Listen,
-		len(p.Known.Targets), memory, sockets)
-	front := &clients.Server{Name: "postgres", Front: postgres.Front{}, Core: c, Slots: slots, Counters: counters}
-	ended := make(chan error, 1)
-	go func() { ended <- front.Run(ctx, l) }()
 	select {
-	case err = <-ended:
-	case <-ctx.Done():
-		log.Printf("event=stopping")
-		select {
-		case err = <-ended:
-		case <-time.After(exitAfter + 500*time.Millisecond):
-			log.Printf("event=stopped_with_clients")
+	case <-c.Ready():
+	case <-g.stop.Done():
+		return nil
+	}
+	l, err := net.Listen("tcp", f.listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	log.Printf("event=listening front=%s address=%s members=%d", f.name, l.Addr(), len(f.known.Targets))
+	front := &clients.Server{Name: f.name, Front: f.front, Core: c, Slots: g.slots, Counters: g.counters}
+	g.fronts.Go(func() error { return front.Run(g.stop, l) })
+	return nil
+}
+
+// checks starts what balancers ask. It answers before the fronts can, and until the program ends.
+func (g *gateway) checks(o *config.Operator) error {
+	for _, x := range []struct {
+		name, listen string
+		serve        func(net.Listener) error
+	}{
+		{"agent_check", o.AgentCheck.Listen, func(l net.Listener) error {
+			return balancers.ServeAgent(g.work, l, g.status)
+		}},
+		{"health", o.Health.Listen, func(l net.Listener) error {
+			return balancers.ServeHealth(g.work, l, g.status, g.counters.String)
+		}},
+	} {
+		if x.listen == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", x.listen)
+		if err != nil {
+			return fmt.Errorf("listening for %s: %w", x.name, err)
 		}
+		log.Printf("event=listening front=%s address=%s", x.name, l.Addr())
+		g.actors.Go(func() error { return x.serve(l) })
 	}
-	return err
+	return nil
 }
 
 // logOnRequest prints the counters at each SIGUSR1.
-func logOnRequest(ctx context.Context, c *stats.Counters) {
+func (g *gateway) logOnRequest() {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGUSR1)
+	defer signal.Stop(asked)
 	for {
 		select {
 		case <-asked:
-			c.Log("counters")
-		case <-ctx.Done():
+			g.counters.Log("counters")
+		case <-g.work.Done():
 			return
 		}
 	}
--- a/cmd/cranegate/main.go
+++ b/cmd/cranegate/main.go
@@ -1,21 +1,50 @@
 // Command cranegate is the gateway: it takes requests from clients and sends them on to database hosts, as the
-// decision module says.
+// decision module says. The platform's configuration is named by PROXY_CONFIG; an operator's file, which sets up
+// the MySQL front and the balancers' checks, by the flag -operator. One of the two is needed.
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"log"
 	"os"
 	"os/signal"
 	"syscall"
+
+	"cranegate/internal/config"
 )
 
 func main() {
-	log.SetFlags(log.Lmicroseconds)
+	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
+	operator := flag.String("operator", os.Getenv("CRANEGATE_OPERATOR"), "the operator's file; none by default")
+	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx); err != nil {
+	p, o, err := load(os.Getenv("PROXY_CONFIG"), *operator)
+	if err == nil {
+		err = run(ctx, p, o)
+	}
+	if err != nil {
 		log.Printf("event=ended error=%q", err)
 		os.Exit(1)
 	}
 }
+
+// load reads the configuration; what is not given is nil.
+func load(platform, operator string) (p *config.Platform, o *config.Operator, err error) {
+	if platform == "" && operator == "" {
+		return nil, nil, errors.New("neither PROXY_CONFIG nor an operator's file is given")
+	}
+	var s *config.Settings
+	if platform != "" {
+		if p, err = config.Load(platform); err != nil {
+			return nil, nil, err
+		}
+		s = &p.Settings
+	}
+	if operator != "" {
+		o, err = config.LoadOperator(operator, s)
+	}
+	return p, o, err
+}
--- /dev/null
+++ b/internal/clients/rig_test.go
@@ -0,0 +1,199 @@
+package clients_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cranegate/internal/clients"
+	"cranegate/internal/clients/mysql"
+	"cranegate/internal/clients/postgres"
+	"cranegate/internal/core"
+	"cranegate/internal/mysqlwire"
+	"cranegate/internal/servers"
+	myservers "cranegate/internal/servers/mysql"
+	pgservers "cranegate/internal/servers/postgres"
+	"cranegate/internal/standin"
+	"cranegate/internal/stats"
+	"cranegate/rules"
+)
+
+func init() { flag.Set("rapid.seed", "20261201") } // CI's verdict never varies; the flag still overrides it
+
+var testRules = rules.Config{Gateways: 1, MaxAttempts: 6, Guards: rules.GuardWait, Positions: true,
+	ListRole: rules.ListRoleLate, MayCancel: true, MayDuplicate: true, MaxComeBack: 500 * time.Millisecond,
+	ColdFrom: 0.2, ColdFor: 10 * time.Second, TipMultiple: 2.5, TipAfter: time.Second,
+	Classes: []rules.Class{
+		{Name: "look", Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1},
+		{Name: "put", Need: rules.NeedWrite, Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 4,
+			LateWorth: 0.5, Effect: rules.Once},
+		{Name: mysql.PrepareClass, Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1},
+	}}
+
+// pipes is a listener whose connections are pipes, so that a test's clock can stand in for time.
+type pipes struct {
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipes) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// rig is one front with its core and stand-in hosts: db-0 is the primary of group 4.
+type rig struct {
+	mysql    bool
+	hosts    []*standin.Host
+	down     []bool // refuses connections
+	core     *core.Core
+	pool     *servers.Pool
+	counters *stats.Counters
+	pipes    *pipes
+	stop     context.CancelFunc // as SIGTERM does
+	kill     context.CancelFunc
+	ended    chan error
+}
+
+func newRig(mysqlFront bool, hosts ...*standin.Host) *rig {
+	r := &rig{mysql: mysqlFront, hosts: hosts, down: make([]bool, len(hosts)), counters: &stats.Counters{},
+		pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, ended: make(chan error, 1)}
+	work, kill := context.WithCancel(context.Background())
+	stopped, stop := context.WithCancel(context.Background())
+	r.stop, r.kill = stop, kill
+	r.pool = servers.New(work, servers.Options{Dial: r.dial, ConnectTimeout: 250 * time.Millisecond,
+		IdleFor: 20 * time.Second, MostOpen: 100, MostIdle: 8, Counters: r.counters})
+	c, err := core.New(core.Options{Rules: testRules, Seed: 1, AnswerSlack: 20 * time.Millisecond,
+		ProbeTimeout: 250 * time.Millisecond, Counters: r.counters}, r.pool)
+	if err != nil {
+		panic(err)
+	}
+	r.core = c
+	go c.Run(work)
+	r.list(rules.ListWhole, rules.PhaseOn)
+	var front clients.Front = postgres.Front{}
+	if mysqlFront {
+		front = mysql.Front{}
+	}
+	s := &clients.Server{Name: "test", Front: front, Core: c, Slots: make(chan struct{}, 50), Counters: r.counters}
+	go func() { r.ended <- s.Run(stopped, r.pipes) }()
+	return r
+}
+
+// list tells of all hosts; phase is that of the last one.
+func (r *rig) list(kind rules.ListKind, phase rules.Phase) {
+	l := core.List{Kind: kind}
+	for i, h := range r.hosts {
+		e := rules.Entry{Member: fmt.Sprint("db-", i), Group: 4, Leader: h.Primary, Size: 1}
+		if i == len(r.hosts)-1 {
+			e.Phase = phase
+		}
+		l.Hosts = append(l.Hosts, core.Host{Address: e.Member, Entry: e})
+	}
+	r.core.Members(l)
+}
+
+func (r *rig) dial(ctx context.Context, address string) (servers.Conn, error) {
+	var i int
+	fmt.Sscanf(address, "db-%d", &i)
+	if r.down[i] {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	if r.mysql {
+		go r.hosts[i].ServeMySQL(far)
+		return myservers.Dialer{User: "svc", Probe: "SHOW pressure", PrepareFor: 250 * time.Millisecond}.Start(ctx, near)
+	}
+	go r.hosts[i].ServePostgres(far)
+	return pgservers.Start(ctx, near)
+}
+
+// connect gives a client's end of a new connection.
+func (r *rig) connect() net.Conn {
+	near, far := net.Pipe()
+	r.pipes.conns <- far
+	return near
+}
+
+// close ends the front as SIGTERM does, and then the rest.
+func (r *rig) close() error {
+	r.stop()
+	err := <-r.ended
+	time.Sleep(3 * time.Second) // attempts that nobody waits for run out
+	r.kill()
+	r.pool.Wait()
+	return err
+}
+
+// asker is a client of either protocol. Form says how it asks.
+type asker struct {
+	form string // "postgres", "mysql" or "prepared"
+	pg   *standin.PostgresClient
+	my   *standin.MySQLClient
+}
+
+var forms = []string{"postgres", "mysql", "prepared"}
+
+func (r *rig) asker(form string) (*asker, error) {
+	a, err := &asker{form: form}, error(nil)
+	if form == "postgres" {
+		a.pg, err = standin.DialPostgres(r.connect(), "")
+	} else {
+		a.my, err = standin.DialMySQL(r.connect(), mysqlwire.CapQueryAttributes|mysqlwire.CapSessionTrack)
+	}
+	return a, err
+}
+
+var verbs = map[string]string{"look": "SELECT v FROM records WHERE k = ", "put": "INSERT INTO records (k) VALUES "}
+
+// ask sends one request; its key is its id, so a value shows whom it was made for.
+func (a *asker) ask(class, id string) (standin.Reply, error) {
+	comment := "/* id=" + id + ",c=" + class + ",d=1000,cluster=4 */ "
+	switch a.form {
+	case "postgres":
+		return a.pg.Ask(comment + verbs[class] + "'" + id + "'")
+	case "mysql":
+		return a.my.Query(comment + verbs[class] + "'" + id + "'")
+	}
+	r, st, _, err := a.my.Prepare("/* c=" + class + ",cluster=4 */ " + verbs[class] + "?")
+	if err != nil || r.Outcome != "served" {
+		return r, err
+	}
+	r, err = a.my.Execute(st, []mysqlwire.Param{mysqlwire.Attribute("", id)}, mysqlwire.Attribute("id", id),
+		mysqlwire.Attribute("d", "1000"))
+	if err == nil {
+		err = a.my.CloseStatement(st)
+	}
+	return r, err
+}
+
+func (a *asker) leave() {
+	if a.pg != nil {
+		a.pg.Close()
+	} else {
+		a.my.Close()
+	}
+}
+
+// inBubble runs a test on a clock of its own.
+func inBubble(t *testing.T, f func() error) {
+	t.Helper()
+	var err error
+	synctest.Test(t, func(*testing.T) { err = f() })
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,9 +17,9 @@
 
 // Limits are the platform's limits on this gateway.
 type Limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB int     `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
+	Cores    float64 `json:"cores" toml:"cores"`
+	MemoryMB int     `json:"memory_mb" toml:"memory_mb"`
+	Sockets  int     `json:"sockets" toml:"sockets"`
 }
 
 // Settings are the rules' configuration and what else the settings hold for a gateway on sockets.
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"cranegate/internal/list"
+)
+
+// Operator is the operator's own file: what the platform's configuration does not know.
+type Operator struct {
+	MySQL      *MySQL   `toml:"mysql"`
+	AgentCheck Listener `toml:"agent_check"` // HAProxy's agent-check
+	Health     Listener `toml:"health"`      // the health endpoint over HTTP
+	Limits     Limits   `toml:"limits"`      // where no platform gives any
+
+	RawSettings map[string]any `toml:"settings"`
+	Settings    *Settings      `toml:"-"`
+	Seed        uint64         `toml:"-"`
+}
+
+// Listener is an address to listen on; empty for none.
+type Listener struct {
+	Listen string `toml:"listen"`
+}
+
+// MySQL is the second front with its database hosts.
+type MySQL struct {
+	Listen            string        `toml:"listen"`
+	Discovery         string        `toml:"discovery"` // as the platform's; or the hosts stand below
+	Hosts             []list.Target `toml:"host"`
+	User              string        `toml:"user"`
+	Database          string        `toml:"database"`
+	Probe             string        `toml:"probe"`
+	PrepareAimMS      int           `toml:"prepare_aim_ms"`
+	PrepareDeadlineMS int           `toml:"prepare_deadline_ms"`
+}
+
+// PrepareAim and PrepareDeadline are those of a client's prepare.
+func (m *MySQL) PrepareAim() time.Duration { return time.Duration(m.PrepareAimMS) * time.Millisecond }
+
+// PrepareDeadline is how long a client's prepare may take.
+func (m *MySQL) PrepareDeadline() time.Duration {
+	return time.Duration(m.PrepareDeadlineMS) * time.Millisecond
+}
+
+// LoadOperator reads the operator's file. Settings there are named as the platform's; they may be left out where
+// the platform gives some.
+func LoadOperator(path string, platform *Settings) (*Operator, error) {
+	o := &Operator{}
+	meta, err := toml.DecodeFile(path, o)
+	if err != nil {
+		return nil, fmt.Errorf("reading the operator's file: %w", err)
+	}
+	for _, key := range meta.Undecoded() {
+		if key[0] != "settings" { // those are read by their paths, and further ones are passed over
+			return nil, fmt.Errorf("reading the operator's file: unknown key %s", key)
+		}
+	}
+	var b [8]byte
+	rand.Read(b[:]) // never fails
+	o.Seed = binary.LittleEndian.Uint64(b[:])
+	if o.Settings = platform; o.RawSettings != nil {
+		s, err := ReadSettings(o.RawSettings)
+		if err != nil {
+			return nil, fmt.Errorf("reading the operator's settings: %w", err)
+		}
+		o.Settings = &s
+	}
+	if o.MySQL == nil {
+		return o, nil
+	}
+	return o, o.MySQL.check(o.Settings)
+}
+
+// check fills in defaults and names what is missing.
+func (m *MySQL) check(s *Settings) error {
+	for _, d := range []struct {
+		to  *string
+		def string
+	}{{&m.User, "svc"}, {&m.Database, "main"}, {&m.Probe, "SHOW pressure"}} {
+		if *d.to == "" {
+			*d.to = d.def
+		}
+	}
+	if m.PrepareAimMS == 0 {
+		m.PrepareAimMS = 500
+	}
+	if m.PrepareDeadlineMS == 0 {
+		m.PrepareDeadlineMS = 2000
+	}
+	switch {
+	case m.Listen == "":
+		return errors.New("mysql: listen is missing")
+	case s == nil:
+		return errors.New("mysql: there are no settings")
+	case m.Discovery == "" && len(m.Hosts) == 0:
+		return errors.New("mysql: neither discovery nor hosts are given")
+	case m.PrepareAimMS < 0 || m.PrepareDeadlineMS < m.PrepareAimMS:
+		return errors.New("mysql: prepare_aim_ms and prepare_deadline_ms are out of order")
+	}
+	for i, h := range m.Hosts {
+		if h.UID == "" || h.Endpoint == "" {
+			return fmt.Errorf("mysql: host %d needs uid and endpoint", i)
+		}
+		if m.Hosts[i].State == "" {
+			m.Hosts[i].State = "SERVING"
+		}
+		if m.Hosts[i].Capacity == 0 {
+			m.Hosts[i].Capacity = 1
+		}
+	}
+	return nil
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -57,7 +57,7 @@
 // attempt makes an attempt that is given up at a time.
 func (c *Core) attempt(q *Request, member string, until time.Duration) *Attempt {
 	a := &Attempt{Request: q, Member: member, Until: c.clock.time(until), core: c, sentAt: c.now}
-	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.ctx, a.cancel = context.WithCancel(c.ctx)
 	c.timers.add(until, func() { a.abandon(rules.ResultTimeout) })
 	return a
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,7 +105,8 @@
 	waiting  map[string][]*Attempt // by member: attempts that may not have begun
 	ended    []func()              // outcomes for the module, after the event in hand
 	lastID   uint64
-	ready    chan struct{} // closed when the first list has come
+	ctx      context.Context // of all attempts; ends with the actor
+	ready    chan struct{}   // closed when the first list has come
 	done     chan struct{}
 }
 
@@ -152,6 +153,7 @@
 // Run is the actor's life. It ends with the context.
 func (c *Core) Run(ctx context.Context) error {
 	defer close(c.done)
+	c.ctx = ctx
 	wake := time.NewTimer(time.Hour)
 	for {
 		select {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -28,21 +28,21 @@
 
 // Snapshot is the list, or changes of it, in discovery's form.
 type Snapshot struct {
-	Rev     int64    `json:"rev"`
-	All     bool     `json:"all"`
-	Targets []Target `json:"targets"`
+	Rev     int64    `json:"rev" toml:"rev"`
+	All     bool     `json:"all" toml:"all"`
+	Targets []Target `json:"targets" toml:"targets"`
 }
 
 // Target is one entry of the list.
 type Target struct {
-	UID         string  `json:"uid"`
-	Endpoint    string  `json:"endpoint"`
-	Zone        string  `json:"az"`
-	Group       int     `json:"pod_group"`
-	State       string  `json:"state"`
-	Capacity    float64 `json:"capacity_hint"`
-	BootMS      int64   `json:"boot_ms"`
-	Replication string  `json:"replication"`
+	UID         string  `json:"uid" toml:"uid"`
+	Endpoint    string  `json:"endpoint" toml:"endpoint"`
+	Zone        string  `json:"az" toml:"az"`
+	Group       int     `json:"pod_group" toml:"pod_group"`
+	State       string  `json:"state" toml:"state"`
+	Capacity    float64 `json:"capacity_hint" toml:"capacity_hint"`
+	BootMS      int64   `json:"boot_ms" toml:"boot_ms"`
+	Replication string  `json:"replication" toml:"replication"`
 }
 
 var phases = map[string]rules.Phase{"SERVING": rules.PhaseOn, "DRAINING": rules.PhaseDraining, "DELETED": rules.PhaseOff}
--- a/internal/mysqlwire/response.go
+++ b/internal/mysqlwire/response.go
@@ -238,10 +238,12 @@
 	OK            OK
 }
 
-// Result writes a statement's result.
+// Result writes a statement's result. Session variables that the host tracked go along: a client learns there
+// which position its write was committed at.
 func (w *Writer) Result(r *Result, caps uint32) {
 	if len(r.Columns) == 0 {
-		w.OK(HeadOK, OK{Affected: r.OK.Affected, LastID: r.OK.LastID, Warnings: r.OK.Warnings}, caps)
+		w.OK(HeadOK, OK{Affected: r.OK.Affected, LastID: r.OK.LastID, Warnings: r.OK.Warnings,
+			Session: r.OK.Session}, caps)
 		return
 	}
 	w.Begin()
@@ -260,7 +262,7 @@
 		w.EOF(r.OK.Warnings)
 		return
 	}
-	w.OK(HeadEOF, OK{Warnings: r.OK.Warnings}, caps)
+	w.OK(HeadEOF, OK{Warnings: r.OK.Warnings, Session: r.OK.Session}, caps)
 }
 
 // Definitions are what a prepare tells of a statement, as it came.
--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -66,6 +66,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
+	return d.Start(ctx, raw)
+}
+
+// Start makes a fresh connection ready for a command, or closes it.
+func (d Dialer) Start(ctx context.Context, raw net.Conn) (servers.Conn, error) {
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	c, err := d.start(raw)
 	if !stop() && err == nil {
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -42,9 +42,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
+	return Start(ctx, raw)
+}
+
+// Start makes a fresh connection ready for a query, or closes it.
+func Start(ctx context.Context, raw net.Conn) (servers.Conn, error) {
 	c := &Conn{Conn: netbuf.New(raw, pgwire.MaxMessage)}
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
-	err = c.start()
+	err := c.start()
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
