--- a/internal/clients/postgres/postgres.go
+++ b/internal/clients/postgres/postgres.go
@@ -50,15 +50,16 @@
 			return c.fatal(err)
 		}
 		c.out = c.out[:0]
+		if c.skipping && kind != 'S' && kind != 'X' {
+			continue
+		}
 		switch kind {
 		case 'Q':
 			err = c.query(body)
 		case 'X':
 			return nil
 		case 'P', 'B', 'E', 'D', 'C', 'F':
-			if !c.skipping {
-				c.out = pgwire.AppendError(c.out, "ERROR", codeUnsupported, "simple queries only", "")
-			}
+			c.out = pgwire.AppendError(c.out, "ERROR", codeUnsupported, "simple queries only", "")
 			if c.skipping = kind != 'F'; !c.skipping {
 				c.out = pgwire.AppendReady(c.out)
 			}
