Refuse a request that no member has had by half of its time, with advice to come back soon

Checked: those are requests held while their group has no primary, in Router.advance, which ends them only when their limit is near. Ruled out: slow sockets (152 us to the first attempt) and attempts that failed to connect.

Change: such a request is refused by half of its time (heldAtMost).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,6 +36,7 @@
 	probeSearch  = 100 * time.Millisecond // the same while a group's primary is sought
 	probeShare   = 0.25                   // probes for each request: quiet gateways need not know everyone
 	probeBurst   = 30.0                   // and this many saved up, for a start or a search
+	heldAtMost   = 0.5                    // share of its time after which an unsent request is refused
 	shedBelow    = 0.9                    // expected worth under which a growing share is refused,
 	shedRamp     = 0.3                    // all but a trickle of them when it is lower by this
 	trickle      = 0.05                   // keeps evidence coming while shedding, so that it ends
@@ -51,7 +52,7 @@
 	goneKept     = 60 * time.Second       // an unlisted member is forgotten when silent this long
 	askAgain     = 500 * time.Millisecond // first wait after a failed call to discovery, then doubled
 	askedKept    = 200.0                  // requests over which tenants' parts are counted: good to 0.04
-	adviceShare  = 0.6                    // advice to come back, of the deadline: jams last, a try still fits
+	adviceShare  = 0.05                   // advice to come back, of the deadline: while an answer still earns
 )
 
 // sample is one round trip over its class's usual; censored ones lasted at least so long.
@@ -105,6 +106,8 @@
 	usual                             *time.Duration
 	group                             *group
 	deadline, aimAt, limit            time.Duration // an answer past aimAt earns less, past limit nothing
+	heldTo                            time.Duration // unsent till then it is refused
+	reached                           bool          // a member has had it, though it may have turned it away
 	need                              int64         // position that fresh and session reads need
 	out                               []*attempt
 	sent                              int
@@ -181,6 +184,7 @@
 		deadline: now + in.Remaining, over: r.overShare(in.Tenant)}
 	q.atPrimary = c.Need == NeedWrite || c.Need == NeedFresh
 	q.aimAt = min(now+c.Aim+time.Duration(c.Stretch*float64(in.Work)), q.deadline)
+	q.heldTo = now + time.Duration(heldAtMost*float64(in.Remaining)) - sweepEvery
 	if q.limit = q.aimAt; c.LateWorth > 0 {
 		q.limit = q.deadline
 	}
@@ -677,6 +681,7 @@
 	default:
 		q.ran = true
 	}
+	q.reached = q.reached || result != ResultConnectFailed && result != ResultMoot
 	q.mayRun = q.ran || len(q.out) > 0
 	if again := q.ran && !a.cancelled && len(q.out) == 0; again && r.tokens < 1 {
 		r.end(q, true)
@@ -697,7 +702,8 @@
 		return
 	}
 	p := q.group.primary()
-	if r.now+*q.usual/2 > q.limit || q.sent >= r.cfg.MaxAttempts || !q.repeatAllowed(r.now) { // hopeless
+	if r.now+*q.usual/2 > q.limit || q.sent >= r.cfg.MaxAttempts || !q.repeatAllowed(r.now) || // hopeless
+		r.now >= q.heldTo && !q.reached {
 		r.end(q, true)
 	} else if m := r.choose(q); m != nil && q.sent == 0 && (m == p || !q.atPrimary) && !r.admit(q, m) {
 		r.end(q, true)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1067,3 +1067,26 @@
 		}
 	}
 }
+
+// TestUnsentRequestIsRefusedByHalfOfItsTime guards against holding a request that no member has had: a client that
+// hears so late that nothing was tried has lost its time. One that a member turned away is held on.
+func TestUnsentRequestIsRefusedByHalfOfItsTime(t *testing.T) {
+	b := newRig(t, config(), Entry{Member: "a", Group: 2, Leader: true, Size: 1}) // none in the request's group
+	w := b.ask(onceWrite)
+	half := b.r.cfg.Classes[onceWrite].Deadline / 2
+	b.pass(half - 100*ms)
+	b.want("refusals while there is time", b.refused[w], 0)
+	b.pass(100 * ms)
+	b.want("refusals by half of it", b.refused[w], 1)
+	if b.advice <= 0 || b.advice > half/4 {
+		t.Errorf("advice %v: it leaves no time for another try", b.advice)
+	}
+	b = newRig(t, config())
+	w = b.ask(onceWrite)
+	b.answer(w, ResultMiss, RoleReplica, b.at(0))
+	for range 3 {
+		b.answer(w, ResultMiss, RoleReplica, b.at(0))
+	}
+	b.pass(half + 50*ms)
+	b.want("refusals after a miss", b.refused[w], 0)
+}
