Open connections to hosts in one place, and ask discovery again well within its limit

The pool opens the TCP connection and watches the time for both protocols; a protocol only makes it ready. A watch waits 3 s and is asked again after 4.5 s: what discovery tells counts as told 2 s after a call's wait ends, so the old 10 s and 2 s left no margin where an answer is lost. Failed connects and calls are logged once a second.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -55,7 +55,7 @@
 	settings                config.Settings
 	seed                    uint64
 	known                   list.Snapshot
-	dial                    servers.Dialer
+	start                   servers.Starter
 	front                   clients.Front
 }
 
@@ -66,7 +66,7 @@
 	if p != nil {
 		limits = p.Limits
 		fleets = append(fleets, fleet{name: "postgres", listen: p.Listen, discovery: p.Discovery, settings: p.Settings,
-			seed: p.Seed, known: p.Known, dial: pgservers.Dial, front: postgres.Front{}})
+			seed: p.Seed, known: p.Known, start: pgservers.Start, front: postgres.Front{}})
 	} else {
 		limits = o.Limits
 	}
@@ -124,14 +124,14 @@
 	s.Rules.Classes = append(slices.Clone(s.Rules.Classes), rules.Class{Name: mysql.PrepareClass,
 		Need: rules.NeedAny, Aim: m.PrepareAim(), Deadline: m.PrepareDeadline(), Worth: 1, Effect: rules.Repeatable})
 	known := list.Snapshot{Rev: -1, All: true, Targets: m.Hosts}
-	dialer := myservers.Dialer{User: m.User, Database: m.Database, Probe: m.Probe, PrepareFor: s.ConnectTimeout}
+	account := myservers.Account{User: m.User, Database: m.Database, Probe: m.Probe, PrepareFor: s.ConnectTimeout}
 	return fleet{name: "mysql", listen: m.Listen, discovery: m.Discovery, settings: s, seed: o.Seed, known: known,
-		dial: dialer.Dial, front: mysql.Front{}}
+		start: account.Start, front: mysql.Front{}}
 }
 
 // serve starts the actors of one fleet, and its front once the module can serve.
 func (g *gateway) serve(f fleet) error {
-	pool := servers.New(g.work, servers.Options{Dial: f.dial, ConnectTimeout: f.settings.ConnectTimeout,
+	pool := servers.New(g.work, servers.Options{Start: f.start, ConnectTimeout: f.settings.ConnectTimeout,
 		IdleFor: f.settings.IdleClose * 2 / 3, MostOpen: g.servers, MostIdle: mostIdle, Counters: g.counters})
 	c, err := core.New(core.Options{Rules: f.settings.Rules, Seed: f.seed, AnswerSlack: f.settings.AnswerSlack,
 		ProbeTimeout: f.settings.ConnectTimeout, Counters: g.counters}, pool)
--- a/internal/clients/rig_test.go
+++ b/internal/clients/rig_test.go
@@ -79,7 +79,11 @@
 	work, kill := context.WithCancel(context.Background())
 	stopped, stop := context.WithCancel(context.Background())
 	r.stop, r.kill = stop, kill
-	r.pool = servers.New(work, servers.Options{Dial: r.dial, ConnectTimeout: 250 * time.Millisecond,
+	var start servers.Starter = pgservers.Start
+	if mysqlFront {
+		start = myservers.Account{User: "svc", Probe: "SHOW pressure", PrepareFor: 250 * time.Millisecond}.Start
+	}
+	r.pool = servers.New(work, servers.Options{Connect: r.dial, Start: start, ConnectTimeout: 250 * time.Millisecond,
 		IdleFor: 20 * time.Second, MostOpen: 100, MostIdle: 8, Counters: r.counters})
 	c, err := core.New(core.Options{Rules: testRules, Seed: 1, AnswerSlack: 20 * time.Millisecond,
 		ProbeTimeout: 250 * time.Millisecond, Counters: r.counters}, r.pool)
@@ -111,7 +115,7 @@
 	r.core.Members(l)
 }
 
-func (r *rig) dial(ctx context.Context, address string) (servers.Conn, error) {
+func (r *rig) dial(_ context.Context, address string) (net.Conn, error) {
 	var i int
 	fmt.Sscanf(address, "db-%d", &i)
 	if r.down[i].Load() {
@@ -120,10 +124,10 @@
 	near, far := net.Pipe()
 	if r.mysql {
 		go r.hosts[i].ServeMySQL(far)
-		return myservers.Dialer{User: "svc", Probe: "SHOW pressure", PrepareFor: 250 * time.Millisecond}.Start(ctx, near)
+	} else {
+		go r.hosts[i].ServePostgres(far)
 	}
-	go r.hosts[i].ServePostgres(far)
-	return pgservers.Start(ctx, near)
+	return near, nil
 }
 
 // connect gives a client's end of a new connection.
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	waitFor    = 10 * time.Second       // one watch call; the agent answers sooner when there is news
-	patience   = 2 * time.Second        // past that an answer is overdue, and the call is made again
-	retryAfter = 100 * time.Millisecond // after a failed call: under the 200 ms that a watch lives on
+	waitFor    = 3 * time.Second         // one watch call; the agent answers sooner when there is news
+	patience   = 1500 * time.Millisecond // past that an answer is overdue; within 2 s it counts as given
+	retryAfter = 100 * time.Millisecond  // after a failed call: under the 200 ms that a watch lives on
 	dialFor    = time.Second
 	mostTold   = 1 << 20
 )
@@ -74,13 +74,17 @@
 
 // Run follows the list until the context ends. While discovery is silent the old list stays.
 func (w *Watcher) Run(ctx context.Context) error {
+	var logged time.Time
 	for ctx.Err() == nil {
 		err := w.follow(ctx)
 		if ctx.Err() != nil {
 			break
 		}
 		w.Counters.Add("list_calls_failed", 1)
-		log.Printf("event=list_call_failed error=%q", err)
+		if now := time.Now(); now.Sub(logged) > time.Second { // an outage fails many
+			logged = now
+			log.Printf("event=list_call_failed error=%q", err)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryAfter):
--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -52,41 +52,17 @@
 // errUnknownStatement also proves that nothing ran: the host has forgotten the statement.
 const errUnknownStatement = 1243
 
-// Dialer opens connections.
-type Dialer struct {
+// Account is who the gateway is to database hosts, and how it examines them.
+type Account struct {
 	User, Database string
 	Probe          string        // the statement that examines a host
 	PrepareFor     time.Duration // a prepare within an attempt takes no longer than a connect may
 }
 
-// Dial opens a connection that is ready for a command.
-func (d Dialer) Dial(ctx context.Context, address string) (servers.Conn, error) {
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("connecting: %w", err)
-	}
-	return d.Start(ctx, raw)
-}
-
-// Start makes a fresh connection ready for a command, or closes it.
-func (d Dialer) Start(ctx context.Context, raw net.Conn) (servers.Conn, error) {
-	stop := context.AfterFunc(ctx, func() { raw.Close() })
-	c, err := d.start(raw)
-	if !stop() && err == nil {
-		err = ctx.Err()
-	}
-	if err != nil {
-		raw.Close()
-		return nil, fmt.Errorf("starting up: %w", err)
-	}
-	return c, nil
-}
-
 // Conn is one connection to a database host.
 type Conn struct {
 	*netbuf.Conn
-	dialer     Dialer
+	account    Account
 	caps       uint32
 	w          mysqlwire.Writer
 	statements map[*mysqlwire.Statement]prepared
@@ -99,9 +75,9 @@
 	definitions *mysqlwire.Definitions
 }
 
-// start answers the handshake.
-func (d Dialer) start(raw net.Conn) (*Conn, error) {
-	c := &Conn{Conn: netbuf.New(raw, mysqlwire.MaxPacket+4), dialer: d,
+// Start answers the handshake of a fresh connection and makes it ready for a command.
+func (d Account) Start(raw net.Conn) (servers.Conn, error) {
+	c := &Conn{Conn: netbuf.New(raw, mysqlwire.MaxPacket+4), account: d,
 		statements: map[*mysqlwire.Statement]prepared{}}
 	seq, b, err := mysqlwire.ReadPacket(c.Conn)
 	if err != nil {
@@ -153,7 +129,7 @@
 	c.w.Reset(0)
 	c.closeDropped()
 	if a.Request == nil {
-		return c.query(a, nil, []byte(c.dialer.Probe))
+		return c.query(a, nil, []byte(c.account.Probe))
 	}
 	command := a.Request.Payload.(*mysqlwire.Command)
 	switch command.Kind {
@@ -223,7 +199,7 @@
 			if !began && !a.Waiting() {
 				return core.Outcome{}, c.flush() == nil
 			}
-			e, err := c.prepare(command.Statement, c.dialer.PrepareFor)
+			e, err := c.prepare(command.Statement, c.account.PrepareFor)
 			if err != nil { // the execute was never written
 				return core.Outcome{Result: rules.ResultConnectFailed}, false
 			} else if e != nil {
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -35,29 +35,10 @@
 	out []byte
 }
 
-// Dial opens a connection and waits until it is ready for a query.
-func Dial(ctx context.Context, address string) (servers.Conn, error) {
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("connecting: %w", err)
-	}
-	return Start(ctx, raw)
-}
-
-// Start makes a fresh connection ready for a query, or closes it.
-func Start(ctx context.Context, raw net.Conn) (servers.Conn, error) {
+// Start makes a fresh connection ready for a query.
+func Start(raw net.Conn) (servers.Conn, error) {
 	c := &Conn{Conn: netbuf.New(raw, pgwire.MaxMessage)}
-	stop := context.AfterFunc(ctx, func() { raw.Close() })
-	err := c.start()
-	if !stop() && err == nil {
-		err = ctx.Err()
-	}
-	if err != nil {
-		raw.Close()
-		return nil, fmt.Errorf("starting up: %w", err)
-	}
-	return c, nil
+	return c, c.start()
 }
 
 // start says who we are and reads up to the first ReadyForQuery.
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log"
+	"net"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -30,15 +32,17 @@
 	Close() error
 }
 
-// Dialer opens a connection that is ready for an attempt.
-type Dialer func(ctx context.Context, address string) (Conn, error)
+// Starter makes a fresh connection ready for an attempt. It need not watch the context: when that ends the
+// connection is closed.
+type Starter func(raw net.Conn) (Conn, error)
 
-// ErrTurnedAway is what a Dialer returns where the host itself turned the connection away.
+// ErrTurnedAway is what a Starter returns where the host itself turned the connection away.
 var ErrTurnedAway = errors.New("turned away by the database host")
 
 // Options are the pool's settings.
 type Options struct {
-	Dial           Dialer
+	Connect        func(ctx context.Context, address string) (net.Conn, error) // nil for TCP
+	Start          Starter
 	ConnectTimeout time.Duration
 	IdleFor        time.Duration // an idle connection is closed after this, well before the host would
 	MostOpen       int           // connections to all hosts together
@@ -60,6 +64,12 @@
 
 // New makes a pool whose actors live until the context ends.
 func New(ctx context.Context, opt Options) *Pool {
+	if opt.Connect == nil {
+		opt.Connect = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	return &Pool{opt: opt, hosts: map[string]*host{}, slots: make(chan struct{}, opt.MostOpen), group: g, ctx: ctx}
 }
@@ -130,6 +140,8 @@
 	idle    []*link // the one used last is at the end
 	waiting []*core.Attempt
 	links   int // connections open or being opened
+
+	loggedAt time.Time // when a failed connect was logged last
 }
 
 // What a host's mailbox takes, beside attempts.
@@ -270,8 +282,11 @@
 		result = rules.ResultFull
 	}
 	h.pool.opt.Counters.Add("server_connects_failed", 1)
-	if a := h.next(); a != nil {
+	if now := time.Now(); now.Sub(h.loggedAt) > time.Second { // an outage fails many
+		h.loggedAt = now
 		log.Printf("event=connect_failed member=%s error=%q", h.name, err)
+	}
+	if a := h.next(); a != nil {
 		h.fail(a, result)
 	}
 }
@@ -295,7 +310,7 @@
 		return
 	}
 	defer func() { <-h.pool.slots }()
-	conn, err := h.pool.opt.Dial(ctx, h.address)
+	conn, err := h.pool.connect(ctx, h.address)
 	if err != nil {
 		h.mailbox <- notOpened{err}
 		return
@@ -308,6 +323,24 @@
 	h.mailbox <- lost{l}
 }
 
+// connect opens a connection and makes it ready, all within the context.
+func (p *Pool) connect(ctx context.Context, address string) (Conn, error) {
+	raw, err := p.opt.Connect(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connecting: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	conn, err := p.opt.Start(raw)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		raw.Close()
+		return nil, fmt.Errorf("starting up: %w", err)
+	}
+	return conn, nil
+}
+
 // link is one open connection.
 type link struct {
 	conn Conn
