Log in to MySQL hosts with a password where the operator's file names one

The gateway answers mysql_native_password, and caching_sha2_password where the host has it cached; a host that wants the password in the clear is not connected to, as there is no TLS.

Checked: the scrambles against answers worked out elsewhere, logins in both ways with right and wrong passwords against the stand-in; a wrong one is a failed connect, so nothing ran.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -124,7 +124,11 @@
 	s.Rules.Classes = append(slices.Clone(s.Rules.Classes), rules.Class{Name: mysql.PrepareClass,
 		Need: rules.NeedAny, Aim: m.PrepareAim(), Deadline: m.PrepareDeadline(), Worth: 1, Effect: rules.Repeatable})
 	known := list.Snapshot{Rev: -1, All: true, Targets: m.Hosts}
-	account := myservers.Account{User: m.User, Database: m.Database, Probe: m.Probe, PrepareFor: s.ConnectTimeout}
+	password := ""
+	if m.PasswordEnv != "" {
+		password = os.Getenv(m.PasswordEnv)
+	}
+	account := myservers.Account{Password: password, User: m.User, Database: m.Database, Probe: m.Probe, PrepareFor: s.ConnectTimeout}
 	return fleet{name: "mysql", listen: m.Listen, discovery: m.Discovery, settings: s, seed: o.Seed, known: known,
 		start: account.Start, front: mysql.Front{}}
 }
--- a/internal/clients/outcomes_test.go
+++ b/internal/clients/outcomes_test.go
@@ -238,3 +238,23 @@
 		})
 	}
 }
+
+// TestPasswords guards logins at hosts that want a password, in either way, and that a wrong one never ran.
+func TestPasswords(t *testing.T) {
+	for _, c := range []struct{ password, plugin, want string }{{"geheim", "", "served"}, {"falsch", "", "refused"},
+		{"geheim", mysqlwire.CachingSHA2Password, "served"}, {"falsch", mysqlwire.CachingSHA2Password, "refused"}} {
+		inBubble(t, func() error {
+			rig := newRig(true, &standin.Host{Primary: true, Password: c.password, Plugin: c.plugin})
+			defer rig.close()
+			a, err := rig.asker("mysql")
+			if err != nil {
+				return err
+			}
+			defer a.leave()
+			if got, err := a.ask("put", "q1"); err != nil || got.Outcome != c.want {
+				return fmt.Errorf("%+v: %+v, %v", c, got, err)
+			}
+			return nil
+		})
+	}
+}
--- a/internal/clients/rig_test.go
+++ b/internal/clients/rig_test.go
@@ -81,7 +81,7 @@
 	r.stop, r.kill = stop, kill
 	var start servers.Starter = pgservers.Start
 	if mysqlFront {
-		start = myservers.Account{User: "svc", Probe: "SHOW pressure", PrepareFor: 250 * time.Millisecond}.Start
+		start = myservers.Account{User: "svc", Password: rigPassword(hosts), Probe: "SHOW pressure", PrepareFor: 250 * time.Millisecond}.Start
 	}
 	r.pool = servers.New(work, servers.Options{Connect: r.dial, Start: start, ConnectTimeout: 250 * time.Millisecond,
 		IdleFor: 20 * time.Second, MostOpen: 100, MostIdle: 8, Counters: r.counters})
@@ -102,6 +102,14 @@
 	return r
 }
 
+// rigPassword is the gateway's password, which is wrong at hosts that want another; none where none is wanted.
+func rigPassword(hosts []*standin.Host) string {
+	if hosts[0].Password == "" {
+		return ""
+	}
+	return "geheim"
+}
+
 // list tells of all hosts; phase is that of the last one.
 func (r *rig) list(kind rules.ListKind, phase rules.Phase) {
 	l := core.List{Kind: kind}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -36,6 +36,7 @@
 	Hosts             []list.Target `toml:"host"`
 	User              string        `toml:"user"`
 	Database          string        `toml:"database"`
+	PasswordEnv       string        `toml:"password_env"` // the environment variable that holds the password
 	Probe             string        `toml:"probe"`
 	PrepareAimMS      int           `toml:"prepare_aim_ms"`
 	PrepareDeadlineMS int           `toml:"prepare_deadline_ms"`
--- a/internal/mysqlwire/mysqlwire_test.go
+++ b/internal/mysqlwire/mysqlwire_test.go
@@ -1,6 +1,7 @@
 package mysqlwire
 
 import (
+	"encoding/hex"
 	"flag"
 	"reflect"
 	"testing"
@@ -101,3 +102,16 @@
 		t.Errorf("%+v, %v", l, err)
 	}
 }
+
+// TestScramble compares with answers worked out elsewhere from the published formulas.
+func TestScramble(t *testing.T) {
+	for plugin, want := range map[string]string{
+		NativePassword:      "cc3fe733cea1f98cf83c2326c9e9218ce96719c8",
+		CachingSHA2Password: "a5ac1a5f311c8d5e77581775029e1db779e84e6b396291cca391008fd67a25bb",
+		"sha256_password":   "", // not known
+	} {
+		if got := hex.EncodeToString(Scramble(plugin, "geheim", []byte(Nonce))); got != want {
+			t.Errorf("%s: %s", plugin, got)
+		}
+	}
+}
--- a/internal/mysqlwire/response.go
+++ b/internal/mysqlwire/response.go
@@ -7,23 +7,27 @@
 	Version    string
 	Caps       uint32
 	AuthPlugin string
+	Nonce      []byte // the challenge
 }
 
-// Handshake writes a server's first packet. The challenge is fixed: no password is asked for.
+// Nonce is the challenge that Handshake writes. It is fixed: the front asks for no password.
+const Nonce = "cranegategatecranega"
+
+// Handshake writes a server's first packet.
 func (w *Writer) Handshake(version string, id, caps uint32) {
 	w.Begin()
 	w.Byte(10)
 	w.Text(version + "\x00")
 	w.U32(id)
-	w.Text("cranegat\x00")
+	w.Text(Nonce[:8] + "\x00")
 	w.U16(uint16(caps))
 	w.Byte(45) // utf8mb4
 	w.U16(StatusAutocommit)
 	w.U16(uint16(caps >> 16))
 	w.Byte(21)
 	w.Text("\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00")
-	w.Text("egatecranega\x00")
-	w.Text("mysql_native_password\x00")
+	w.Text(Nonce[8:] + "\x00")
+	w.Text(NativePassword + "\x00")
 	w.End()
 }
 
@@ -35,14 +39,18 @@
 		return h, fmt.Errorf("handshake of version %d: %w", v, ErrMalformed)
 	}
 	h.Version = string(c.Zero())
-	c.Take(4 + 8 + 1)
+	c.Take(4)
+	h.Nonce = append(h.Nonce, c.Take(8)...)
+	c.Take(1)
 	h.Caps = uint32(c.U16())
 	c.Take(1 + 2)
 	h.Caps |= uint32(c.U16()) << 16
 	n := int(c.Byte())
 	c.Take(10)
 	if h.Caps&CapSecure != 0 {
-		c.Take(max(13, n-8))
+		if rest := c.Take(max(13, n-8)); c.Err == nil {
+			h.Nonce = append(h.Nonce, rest[:12]...)
+		}
 	}
 	if h.Caps&CapPluginAuth != 0 && c.Err == nil {
 		h.AuthPlugin = string(c.Zero())
@@ -54,9 +62,11 @@
 type Login struct {
 	Caps           uint32
 	User, Database string
+	Auth           []byte // the answer to the challenge, 255 bytes at most
+	Plugin         string
 }
 
-// Login writes a client's answer to the handshake, without a password.
+// Login writes a client's answer to the handshake.
 func (w *Writer) Login(l Login) {
 	w.Begin()
 	w.U32(l.Caps)
@@ -64,12 +74,13 @@
 	w.Byte(45)
 	w.B = append(w.B, make([]byte, 23)...)
 	w.Text(l.User + "\x00")
-	w.Byte(0) // an empty answer to the challenge
+	w.Byte(byte(len(l.Auth)))
+	w.B = append(w.B, l.Auth...)
 	if l.Caps&CapConnectWithDB != 0 {
 		w.Text(l.Database + "\x00")
 	}
 	if l.Caps&CapPluginAuth != 0 {
-		w.Text("mysql_native_password\x00")
+		w.Text(l.Plugin + "\x00")
 	}
 	w.End()
 }
@@ -92,9 +103,9 @@
 	l.User = string(c.Zero())
 	switch {
 	case l.Caps&CapLenencAuth != 0:
-		c.String()
+		l.Auth = append(l.Auth, c.String()...)
 	case l.Caps&CapSecure != 0:
-		c.Take(int(c.Byte()))
+		l.Auth = append(l.Auth, c.Take(int(c.Byte()))...)
 	default:
 		c.Zero()
 	}
--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -55,6 +55,7 @@
 // Account is who the gateway is to database hosts, and how it examines them.
 type Account struct {
 	User, Database string
+	Password       string
 	Probe          string        // the statement that examines a host
 	PrepareFor     time.Duration // a prepare within an attempt takes no longer than a connect may
 }
@@ -93,8 +94,12 @@
 	if c.caps = h.Caps & ourCaps; c.caps&needCaps != needCaps {
 		return nil, fmt.Errorf("the server's protocol is too old: %w", mysqlwire.ErrMalformed)
 	}
+	if h.AuthPlugin != mysqlwire.CachingSHA2Password {
+		h.AuthPlugin = mysqlwire.NativePassword // a server that wants another way says so
+	}
 	c.w.Reset(seq + 1)
-	c.w.Login(mysqlwire.Login{Caps: c.caps, User: d.User, Database: d.Database})
+	c.w.Login(mysqlwire.Login{Caps: c.caps, User: d.User, Database: d.Database, Plugin: h.AuthPlugin,
+		Auth: mysqlwire.Scramble(h.AuthPlugin, d.Password, h.Nonce)})
 	for {
 		if _, err := c.Write(c.w.B); err != nil {
 			return nil, err
@@ -102,16 +107,23 @@
 		if seq, b, err = mysqlwire.ReadPacket(c.Conn); err != nil {
 			return nil, err
 		}
+		c.w.Reset(seq + 1)
 		switch {
-		case len(b) > 0 && b[0] == mysqlwire.HeadOK:
+		case len(b) == 0:
+			return nil, mysqlwire.ErrMalformed
+		case b[0] == mysqlwire.HeadOK:
 			return c, nil
-		case len(b) > 0 && b[0] == mysqlwire.HeadErr:
+		case b[0] == mysqlwire.HeadErr:
 			return nil, startError(b)
-		case len(b) > 0 && b[0] == mysqlwire.HeadEOF: // another way to log in: with an empty password alike
-			c.w.Reset(seq + 1)
-			c.w.Packet(nil)
+		case b[0] == mysqlwire.HeadEOF:
+			plugin, nonce, err := mysqlwire.ParseSwitchAuth(b)
+			if err != nil {
+				return nil, err
+			}
+			c.w.Packet(mysqlwire.Scramble(plugin, d.Password, nonce))
+		case len(b) == 2 && b[0] == mysqlwire.MoreAuth && b[1] == mysqlwire.FastAuth: // the OK follows
 		default:
-			return nil, errors.New("it wants a password")
+			return nil, errors.New("it wants the password in the clear")
 		}
 	}
 }
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -90,7 +90,7 @@
 	}
 	c.caps = (mysqlwire.CapProtocol41 | mysqlwire.CapSecure | mysqlwire.CapPluginAuth | caps) & h.Caps
 	c.w.Reset(seq + 1)
-	c.w.Login(mysqlwire.Login{Caps: c.caps, User: "svc"})
+	c.w.Login(mysqlwire.Login{Caps: c.caps, User: "svc", Plugin: mysqlwire.NativePassword})
 	_, _, err = c.send()
 	return c, err
 }
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -31,6 +31,8 @@
 // Host is a database host.
 type Host struct {
 	Primary bool
+	// Password is what a MySQL login must know; Plugin is the way that it must take, if not the native one.
+	Password, Plugin string
 	// Act decides about a statement, or a prepare. Nil serves all.
 	Act func(id, text string, prepare bool) Act
 	// PrepareFor is how long a prepare takes.
@@ -219,6 +221,25 @@
 	}
 	c.caps = l.Caps
 	c.w.Reset(seq + 1)
+	plugin := mysqlwire.NativePassword
+	if h.Plugin != "" {
+		plugin = h.Plugin
+		c.w.SwitchAuth(plugin, []byte(mysqlwire.Nonce))
+		if _, err := c.Write(c.w.B); err != nil {
+			return
+		}
+		if seq, l.Auth, err = mysqlwire.ReadPacket(c.Conn); err != nil {
+			return
+		}
+		c.w.Reset(seq + 1)
+		c.w.Packet([]byte{mysqlwire.MoreAuth, mysqlwire.FastAuth})
+	}
+	if want := mysqlwire.Scramble(plugin, h.Password, []byte(mysqlwire.Nonce)); string(want) != string(l.Auth) {
+		c.w.Reset(seq + 1)
+		c.w.Err(mysqlwire.Error{Code: 1045, State: "28000", Text: "access denied"}, c.caps)
+		c.Write(c.w.B)
+		return
+	}
 	c.w.OK(mysqlwire.HeadOK, mysqlwire.OK{}, c.caps)
 	for {
 		if len(c.w.B) > 0 {
