Bound what all clients together make the gateway keep, and test the core alone

Seen by counting: 480 clients at the bound of a message each come to 155 MB through the platform's front, and a MySQL client could keep 256 statements of 192 KiB. The limit is 192 MB, over which the gateway is killed.

Change: buffers past 4 KiB, statements, long data and requests that are out take from one budget of a quarter of the memory. What finds no room is refused (53300, 1637) or turned away before it was read whole (53300, 1041); nothing of it has run. A panic in one client's session ends that session alone.

Checked: random steps end with the whole budget given back; eight large requests against a small budget are served or refused while a small one goes through. The core's own tests: one answer whatever hosts do, and a position ahead of the clock.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -22,6 +22,7 @@
 	"cranegate/internal/config"
 	"cranegate/internal/core"
 	"cranegate/internal/list"
+	"cranegate/internal/netbuf"
 	"cranegate/internal/servers"
 	myservers "cranegate/internal/servers/mysql"
 	pgservers "cranegate/internal/servers/postgres"
@@ -41,8 +42,9 @@
 type gateway struct {
 	counters *stats.Counters
 	status   *balancers.Status
-	slots    chan struct{} // descriptors for clients
-	servers  int           // descriptors for the database hosts of each protocol
+	slots    chan struct{}  // descriptors for clients
+	budget   *netbuf.Budget // bytes for what clients send
+	servers  int            // descriptors for the database hosts of each protocol
 	stop     context.Context
 	work     context.Context // outlives stop: what was taken is still answered
 	actors   *errgroup.Group // live as long as work
@@ -86,7 +88,7 @@
 	defer cancel()
 	half := (limits.Sockets - reserve) / 2
 	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, slots: make(chan struct{}, half),
-		servers: half / max(1, len(fleets)), stop: stop, work: work, fronts: &errgroup.Group{}}
+		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: half / max(1, len(fleets)), stop: stop, work: work, fronts: &errgroup.Group{}}
 	g.actors, _ = errgroup.WithContext(work)
 	g.status.Free = func() float64 { return 1 - float64(len(g.slots))/float64(cap(g.slots)) }
 	g.actors.Go(func() error { g.logOnRequest(); return nil })
@@ -160,7 +162,8 @@
 		return fmt.Errorf("listening: %w", err)
 	}
 	log.Printf("event=listening front=%s address=%s members=%d", f.name, l.Addr(), len(f.known.Targets))
-	front := &clients.Server{Name: f.name, Front: f.front, Core: c, Slots: g.slots, Counters: g.counters}
+	front := &clients.Server{Name: f.name, Front: f.front, Core: c, Slots: g.slots, Budget: g.budget,
+		Counters: g.counters}
 	g.fronts.Go(func() error { return front.Run(g.stop, l) })
 	return nil
 }
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +52,8 @@
 	Name     string
 	Front    Front
 	Core     *core.Core
-	Slots    chan struct{} // a descriptor for each client; all fronts may share it
+	Slots    chan struct{}  // a descriptor for each client; all fronts may share it
+	Budget   *netbuf.Budget // bytes for all that clients send; all fronts may share it
 	Counters *stats.Counters
 
 	stopping atomic.Bool
@@ -106,7 +109,9 @@
 	s.mu.Lock()
 	s.sessions[x] = true
 	s.mu.Unlock()
-	err := s.Front.Serve(x)
+	x.Charge(s.Budget)
+	err := s.talk(x)
+	x.Release()
 	s.mu.Lock()
 	delete(s.sessions, x)
 	s.mu.Unlock()
@@ -116,6 +121,17 @@
 	}
 }
 
+// talk has the front serve a session. A fault in what one client's bytes lead to must not end all others.
+func (s *Server) talk(x *Session) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.Counters.Add(s.Name+"_panics", 1)
+			err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	return s.Front.Serve(x)
+}
+
 // Session is one client's connection. Its goroutine is the client's actor; Conn.Wake with an answer or a stop
 // is its mailbox.
 type Session struct {
@@ -128,6 +144,9 @@
 // Core is the core that the session asks.
 func (x *Session) Core() *core.Core { return x.server.Core }
 
+// Budget pays for what the session keeps beside its buffer.
+func (x *Session) Budget() *netbuf.Budget { return x.server.Budget }
+
 // Counters are the program's counters.
 func (x *Session) Counters() *stats.Counters { return x.server.Counters }
 
@@ -168,7 +187,7 @@
 
 // gone names an error that only says that the client has left.
 func (x *Session) gone(err error) error {
-	if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, netbuf.ErrNoRoom) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
 	var op *net.OpError
@@ -178,8 +197,14 @@
 	return err
 }
 
-// Ask hands a request to the core and waits for its answer, watching for the client's close.
-func (x *Session) Ask(q *core.Request) (core.Answer, error) {
+// Ask hands a request to the core and waits for its answer, watching for the client's close. The request keeps
+// about so many bytes till then; where there is no room for them it is refused, and nothing has run.
+func (x *Session) Ask(q *core.Request, size int) (core.Answer, error) {
+	if !x.server.Budget.Take(size) {
+		x.server.Counters.Add(x.server.Name+"_no_room", 1)
+		return core.Answer{Status: core.Refused}, nil
+	}
+	defer x.server.Budget.Give(size)
 	answers := make(chan core.Answer, 1)
 	q.Arrived = x.arrived
 	q.Reply = func(a core.Answer) {
@@ -196,7 +221,7 @@
 			return a, nil
 		default:
 		}
-		if errors.Is(err, netbuf.ErrTooLarge) { // it has sent so much more that its close can't be seen
+		if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, netbuf.ErrNoRoom) { // it has sent so much more that its close can't be seen
 			return <-answers, nil
 		}
 		if err != nil {
--- a/internal/clients/model_test.go
+++ b/internal/clients/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"sync"
@@ -264,13 +265,12 @@
 func TestMySQLConnectionStates(t *testing.T) {
 	type step struct{ Op, Which int }
 	plans := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-		return step{rapid.IntRange(0, 11).Draw(t, "op"), rapid.IntRange(0, 5).Draw(t, "which")}
+		return step{rapid.IntRange(0, 12).Draw(t, "op"), rapid.IntRange(0, 5).Draw(t, "which")}
 	}), 1, 30)
 	for _, caps := range []uint32{0, mysqlwire.CapDeprecateEOF | mysqlwire.CapQueryAttributes | mysqlwire.CapSessionTrack} {
-		check(t, plans, func(plan []step) error {
-			h := &standin.Host{Primary: true}
-			rig := newRig(true, h)
-			defer rig.close()
+		check(t, plans, func(plan []step) (err error) {
+			rig := newRig(true, &standin.Host{Primary: true})
+			defer func() { err = cmp.Or(err, rig.close()) }()
 			c, err := standin.DialMySQL(rig.connect(), caps)
 			if err != nil {
 				return err
@@ -312,6 +312,13 @@
 					err = c.CloseStatement(id)
 					delete(live, id)
 					got.Outcome = "served"
+				case 12:
+					err = c.LongData(id, 1, "never used") // for no parameter: the next execute would fail
+					if err == nil && known {
+						got, err = c.Command(mysqlwire.ComStmtReset, string([]byte{byte(id), 0, 0, 0}))
+					} else {
+						got.Outcome = "served"
+					}
 				case 11:
 					got, err = c.Command(mysqlwire.ComStmtReset, string([]byte{byte(id), 0, 0, 0}))
 					if !known {
--- a/internal/clients/mysql/mysql.go
+++ b/internal/clients/mysql/mysql.go
@@ -39,6 +39,7 @@
 	errCommand   = mysqlwire.Error{Code: 1047, State: "08S01", Text: "command not served"}
 	errSyntax    = mysqlwire.Error{Code: 1064, State: "42000"}
 	errFailed    = mysqlwire.Error{Code: 1105, State: "HY000", Text: "failed, it may have run"}
+	errMemory    = mysqlwire.Error{Code: 1041, State: "HY000", Text: "no memory left for it, nothing has run"}
 	errTooLarge  = mysqlwire.Error{Code: 1153, State: "08S01", Text: "packet too large"}
 	errArguments = mysqlwire.Error{Code: 1210, State: "HY000", Text: "parameters do not match the statement"}
 	errUnknown   = mysqlwire.Error{Code: 1243, State: "HY000", Text: "no such prepared statement"}
@@ -139,6 +140,10 @@
 		c.w.Reset(c.w.Seq)
 		c.w.Err(errTooLarge, c.caps)
 		c.Send(c.w.B)
+	case errors.Is(err, netbuf.ErrNoRoom): // nothing of it was taken
+		c.w.Reset(c.w.Seq)
+		c.w.Err(errMemory, c.caps)
+		c.Send(c.w.B)
 	case errors.Is(err, mysqlwire.ErrMalformed):
 		c.w.Reset(c.w.Seq)
 		c.w.Err(errCommand, c.caps)
@@ -150,11 +155,24 @@
 // drop lets go of all statements; the database hosts' connections close theirs.
 func (c *client) drop() {
 	for id, s := range c.statements {
-		s.Drop()
+		c.let(s)
 		delete(c.statements, id)
 	}
 }
 
+// let drops one statement and what it keeps.
+func (c *client) let(s *prepared) {
+	s.Drop()
+	c.forgetLong(s)
+	c.Budget().Give(len(s.Text))
+}
+
+// forgetLong drops the values that came ahead.
+func (c *client) forgetLong(s *prepared) {
+	c.Budget().Give(s.size)
+	s.long, s.size, s.spoilt = nil, 0, false
+}
+
 // err answers with an error; the connection lives on.
 func (c *client) err(e mysqlwire.Error, text string) {
 	if text != "" {
@@ -188,18 +206,14 @@
 		return c.longData(body)
 	case mysqlwire.ComStmtReset:
 		if s := c.statement(&mysqlwire.Cursor{B: body}); s != nil {
-			s.forgetLong()
+			c.forgetLong(s)
 			c.ok()
 		}
 	case mysqlwire.ComStmtClose: // never answered
 		cursor := mysqlwire.Cursor{B: body}
-		if s := c.statements[cursor.U32()]; s != nil && cursor.Err == nil {
-			for id, x := range c.statements {
-				if x == s {
-					delete(c.statements, id)
-				}
-			}
-			s.Drop()
+		if id := cursor.U32(); cursor.Err == nil && c.statements[id] != nil {
+			c.let(c.statements[id])
+			delete(c.statements, id)
 		}
 	default:
 		c.err(errCommand, "")
@@ -219,8 +233,6 @@
 	return s
 }
 
-func (s *prepared) forgetLong() { s.long, s.size, s.spoilt = nil, 0, false }
-
 // query answers a text query.
 func (c *client) query(body []byte) error {
 	cursor := mysqlwire.Cursor{B: body}
@@ -244,7 +256,7 @@
 		c.err(errSyntax, err.Error())
 		return nil
 	}
-	return c.ask(meta, &mysqlwire.Command{Kind: mysqlwire.ComQuery, Attributes: attributes})
+	return c.ask(meta, &mysqlwire.Command{Kind: mysqlwire.ComQuery, Attributes: attributes}, len(body))
 }
 
 // prepare has a member of the statement's group prepare it, which tells the parameters and columns. That goes
@@ -263,10 +275,14 @@
 		return nil
 	}
 	s := &prepared{Statement: &mysqlwire.Statement{Text: string(text), Meta: meta}}
+	if !c.Budget().Take(len(text)) { // it stays as long as the client wants it
+		c.err(errMemory, "")
+		return nil
+	}
 	a, err := c.Ask(&core.Request{Class: PrepareClass, Group: meta.Group,
-		Payload: &mysqlwire.Command{Kind: mysqlwire.ComStmtPrepare, Statement: s.Statement}})
+		Payload: &mysqlwire.Command{Kind: mysqlwire.ComStmtPrepare, Statement: s.Statement}}, 0)
 	if err != nil || a.Status != core.Served {
-		s.Drop() // a late answer of a member finds it dropped, and closes it there
+		c.let(s) // a late answer of a member finds it dropped, and closes it there
 		if err == nil {
 			c.unserved(a)
 		}
@@ -289,7 +305,9 @@
 	}
 	long, spoilt := s.long, s.spoilt
 	all := cursor.Execute(c.caps, s.Params, s.bound, long)
-	s.forgetLong()
+	defer c.Budget().Give(s.size) // only once the request has its answer
+	s.size = 0
+	c.forgetLong(s)
 	if cursor.Err != nil || spoilt {
 		c.err(errArguments, "")
 		return nil
@@ -300,7 +318,7 @@
 	}
 	meta := *s.Meta
 	return c.ask(&meta, &mysqlwire.Command{Kind: mysqlwire.ComStmtExecute, Statement: s.Statement,
-		Params: all[:s.Params], Attributes: all[s.Params:], Long: long})
+		Params: all[:s.Params], Attributes: all[s.Params:], Long: long}, len(body))
 }
 
 // longData keeps a part of a parameter's value for the next execute. It is never answered.
@@ -311,12 +329,13 @@
 	if s == nil || cursor.Err != nil {
 		return nil
 	}
-	if s.size += len(cursor.B); i >= s.Params || s.size > mysqlwire.MaxPacket/2 {
-		s.long, s.spoilt = nil, true
-	}
-	if s.spoilt {
+	n := len(cursor.B)
+	if s.spoilt || i >= s.Params || s.size+n > mysqlwire.MaxPacket/2 || !c.Budget().Take(n) {
+		c.forgetLong(s)
+		s.spoilt = true
 		return nil
 	}
+	s.size += n
 	if s.long == nil {
 		s.long = map[int][]byte{}
 	}
@@ -326,8 +345,8 @@
 
 func (c *client) known(class string) bool { return class != PrepareClass && c.Core().HasClass(class) }
 
-// ask puts a request to the core and writes its answer.
-func (c *client) ask(meta *statement.Statement, command *mysqlwire.Command) error {
+// ask puts a request of about so many bytes to the core and writes its answer.
+func (c *client) ask(meta *statement.Statement, command *mysqlwire.Command, size int) error {
 	for _, p := range command.Attributes {
 		if p.Name == "k" {
 			meta.Key = p.Text()
@@ -343,7 +362,7 @@
 	}
 	command.Meta = meta
 	a, err := c.Ask(&core.Request{Class: meta.Class, Group: meta.Group, Session: meta.Key, Wait: meta.Wait,
-		After: meta.After, Repeat: meta.Repeat, Payload: command})
+		After: meta.After, Repeat: meta.Repeat, Payload: command}, size)
 	if err != nil {
 		return err
 	}
--- a/internal/clients/outcomes_test.go
+++ b/internal/clients/outcomes_test.go
@@ -1,7 +1,9 @@
 package clients_test
 
 import (
+	"cmp"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -258,3 +260,51 @@
 		})
 	}
 }
+
+// TestMemoryRunsOut guards the limit on memory: what has no room is refused without having run, what is kept is
+// given back, and a client that goes easy is served all the while.
+func TestMemoryRunsOut(t *testing.T) {
+	for _, form := range forms[:2] {
+		inBubble(t, func() (err error) {
+			hold := make(chan struct{})
+			act := func(id, _ string, _ bool) standin.Act {
+				if id == "big" {
+					<-hold
+				}
+				return standin.Serve
+			}
+			rig := newRig(form != "postgres", &standin.Host{Primary: true, Act: act})
+			defer func() { err = cmp.Or(err, rig.close()) }()
+			outcomes := map[string]int{}
+			answers := make(chan string)
+			for range 8 {
+				a, err := rig.asker(form)
+				if err != nil {
+					return err
+				}
+				defer a.leave()
+				go func() {
+					got, _ := a.say("/* id=big,c=put,cluster=4 */ INSERT INTO records (k) VALUES ('" + strings.Repeat("x", 60<<10) + "')")
+					answers <- got.Outcome
+				}()
+			}
+			time.Sleep(100 * time.Millisecond)
+			small, err := rig.asker(form)
+			if err != nil {
+				return err
+			}
+			defer small.leave()
+			if got, err := small.ask("look", "s"); err != nil || got.Value != "value of s" {
+				return fmt.Errorf("%s: a small request: %+v, %v", form, got, err)
+			}
+			close(hold)
+			for range 8 {
+				outcomes[<-answers]++
+			}
+			if outcomes["served"] < 2 || outcomes["served"] > 5 || outcomes["served"]+outcomes["refused"] != 8 {
+				return fmt.Errorf("%s: %v", form, outcomes)
+			}
+			return nil
+		})
+	}
+}
--- a/internal/clients/postgres/postgres.go
+++ b/internal/clients/postgres/postgres.go
@@ -122,6 +122,8 @@
 	switch {
 	case errors.Is(err, netbuf.ErrTooLarge):
 		c.Send(pgwire.AppendError(nil, "FATAL", codeTooLarge, "message too large", ""))
+	case errors.Is(err, netbuf.ErrNoRoom): // nothing of it was taken
+		c.Send(pgwire.AppendError(nil, "FATAL", codeRefused, "no memory for a message", ""))
 	case errors.Is(err, pgwire.ErrMalformed):
 		c.Send(pgwire.AppendError(nil, "FATAL", codeProtocol, "malformed message", ""))
 	}
@@ -149,7 +151,7 @@
 		return nil
 	}
 	a, err := c.Ask(&core.Request{Class: s.Class, Group: s.Group, Session: s.Key, Wait: s.Wait, After: s.After,
-		Repeat: s.Repeat, Payload: s})
+		Repeat: s.Repeat, Payload: s}, len(text))
 	if err != nil {
 		return err
 	}
--- a/internal/clients/rig_test.go
+++ b/internal/clients/rig_test.go
@@ -17,6 +17,7 @@
 	"cranegate/internal/clients/postgres"
 	"cranegate/internal/core"
 	"cranegate/internal/mysqlwire"
+	"cranegate/internal/netbuf"
 	"cranegate/internal/servers"
 	myservers "cranegate/internal/servers/mysql"
 	pgservers "cranegate/internal/servers/postgres"
@@ -59,6 +60,8 @@
 func (l *pipes) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
 func (l *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
+const rigBudget = 300 << 10
+
 // rig is one front with its core and stand-in hosts: db-0 is the primary of group 4.
 type rig struct {
 	mysql    bool
@@ -68,6 +71,7 @@
 	pool     *servers.Pool
 	counters *stats.Counters
 	pipes    *pipes
+	budget   *netbuf.Budget
 	stop     context.CancelFunc // as SIGTERM does
 	kill     context.CancelFunc
 	ended    chan error
@@ -75,7 +79,8 @@
 
 func newRig(mysqlFront bool, hosts ...*standin.Host) *rig {
 	r := &rig{mysql: mysqlFront, hosts: hosts, down: make([]atomic.Bool, len(hosts)), counters: &stats.Counters{},
-		pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, ended: make(chan error, 1)}
+		budget: netbuf.NewBudget(rigBudget),
+		pipes:  &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, ended: make(chan error, 1)}
 	work, kill := context.WithCancel(context.Background())
 	stopped, stop := context.WithCancel(context.Background())
 	r.stop, r.kill = stop, kill
@@ -97,7 +102,8 @@
 	if mysqlFront {
 		front = mysql.Front{}
 	}
-	s := &clients.Server{Name: "test", Front: front, Core: c, Slots: make(chan struct{}, 50), Counters: r.counters}
+	s := &clients.Server{Name: "test", Front: front, Core: c, Slots: make(chan struct{}, 50), Budget: r.budget,
+		Counters: r.counters}
 	go func() { r.ended <- s.Run(stopped, r.pipes) }()
 	return r
 }
@@ -153,6 +159,9 @@
 	time.Sleep(3 * time.Second) // attempts that nobody waits for run out
 	r.kill()
 	r.pool.Wait()
+	if err == nil && !r.budget.Take(rigBudget) {
+		err = errors.New("memory was not given back")
+	}
 	return err
 }
 
@@ -180,11 +189,8 @@
 // ask sends one request; its key is its id, so a value shows whom it was made for.
 func (a *asker) ask(class, id string) (standin.Reply, error) {
 	comment := "/* id=" + id + ",c=" + class + ",d=1000,cluster=4 */ "
-	switch a.form {
-	case "postgres":
-		return a.pg.Ask(comment + verbs[class] + "'" + id + "'")
-	case "mysql":
-		return a.my.Query(comment + verbs[class] + "'" + id + "'")
+	if a.form != "prepared" {
+		return a.say(comment + verbs[class] + "'" + id + "'")
 	}
 	r, st, _, err := a.my.Prepare("/* c=" + class + ",cluster=4 */ " + verbs[class] + "?")
 	if err != nil || r.Outcome != "served" {
@@ -196,6 +202,14 @@
 	return r, err
 }
 
+// say sends a text query.
+func (a *asker) say(text string) (standin.Reply, error) {
+	if a.pg != nil {
+		return a.pg.Ask(text)
+	}
+	return a.my.Query(text)
+}
+
 func (a *asker) leave() {
 	if a.pg != nil {
 		a.pg.Close()
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cranegate/internal/stats"
+	"cranegate/rules"
+)
+
+// fakeServers notes attempts and answers probes; what else it does is up to take.
+type fakeServers struct {
+	mu   sync.Mutex
+	sent []string
+	take func(*Attempt) bool
+}
+
+func (s *fakeServers) Update(List)      {}
+func (s *fakeServers) CloseIdle(string) {}
+func (s *fakeServers) Start(a *Attempt) bool {
+	if a.Request == nil { // db-0 is the primary, db-1 trails by 400 ms
+		r := rules.Report{HasPosition: true, Position: time.Now().UnixMilli(), Role: rules.RolePrimary}
+		if a.Member == "db-1" {
+			r.Position, r.Role = r.Position-400, rules.RoleReplica
+		}
+		go func() { a.Begin(); a.Done(Outcome{Result: rules.ResultOK, Report: r}) }()
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = append(s.sent, a.Member)
+	return s.take(a)
+}
+
+// play runs one request against a core whose attempts are taken as given.
+func play(t *testing.T, q Request, take func(*Attempt) bool) (answers []Answer, sent []string, took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := rules.Config{Gateways: 1, MaxAttempts: 6, Positions: true, ListRole: rules.ListRoleLate, MayProbe: true,
+			MayCancel: true, MayDuplicate: true, Classes: []rules.Class{
+				{Name: "own", Need: rules.NeedSession, Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1},
+				{Name: "put", Need: rules.NeedWrite, Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1,
+					LateWorth: 0.5, Effect: rules.Once}}}
+		s := &fakeServers{take: take}
+		c, err := New(Options{Rules: cfg, Seed: 1, AnswerSlack: 20 * time.Millisecond, ProbeTimeout: 250 * time.Millisecond,
+			Counters: &stats.Counters{}}, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go c.Run(ctx)
+		c.Members(List{Kind: rules.ListWhole, Hosts: []Host{{Entry: rules.Entry{Member: "db-0", Leader: true, Size: 1}},
+			{Entry: rules.Entry{Member: "db-1", Size: 1}}}})
+		time.Sleep(50 * time.Millisecond)
+		start := time.Now()
+		q.Arrived = start
+		if q.After != 0 {
+			q.After += start.UnixMilli()
+		}
+		var mu sync.Mutex
+		q.Reply = func(a Answer) {
+			mu.Lock()
+			defer mu.Unlock()
+			answers, took = append(answers, a), time.Since(start)
+		}
+		c.Submit(&q)
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		sent = s.sent
+	})
+	return answers, sent, took
+}
+
+func serve(a *Attempt) bool {
+	go func() {
+		if a.Begin() {
+			a.Done(Outcome{Result: rules.ResultOK, Value: "v"})
+			a.Done(Outcome{Result: rules.ResultError}) // a second outcome counts for nothing
+		}
+	}()
+	return true
+}
+
+// TestAfterIsNeverTooLax guards the conversion of a position: one a little ahead of this clock, as a commit that was
+// rounded up is, must not pass for no write at all.
+func TestAfterIsNeverTooLax(t *testing.T) {
+	for after, want := range map[int64]string{3: "db-0", -100: "db-0", -5000: "db-1"} {
+		answers, sent, _ := play(t, Request{Class: "own", After: after}, serve)
+		if len(answers) != 1 || answers[0].Status != Served || fmt.Sprint(sent) != fmt.Sprint([]string{want}) {
+			t.Errorf("after %d ms: %+v from %v, want %s", after, answers, sent, want)
+		}
+	}
+}
+
+// TestOneAnswerWhateverHostsDo guards the one final answer, in time, where hosts are deaf, full, or break.
+func TestOneAnswerWhateverHostsDo(t *testing.T) {
+	for name, c := range map[string]struct {
+		take func(*Attempt) bool
+		want Status
+	}{
+		"serves":                  {serve, Served},
+		"cannot take it":          {func(*Attempt) bool { return false }, Refused},
+		"never connects":          {func(*Attempt) bool { return true }, Refused},
+		"begins and stays silent": {func(a *Attempt) bool { return a.Begin() }, Failed},
+		"breaks": {func(a *Attempt) bool {
+			go func() { a.Begin(); a.Done(Outcome{Result: rules.ResultReset}) }()
+			return true
+		}, Failed},
+	} {
+		answers, sent, took := play(t, Request{Class: "put", Wait: 800 * time.Millisecond}, c.take)
+		if len(answers) != 1 || answers[0].Status != c.want || took > 820*time.Millisecond {
+			t.Errorf("%s: %+v after %v, sent to %v", name, answers, took, sent)
+		}
+	}
+}
--- a/internal/netbuf/netbuf.go
+++ b/internal/netbuf/netbuf.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,14 +21,45 @@
 // ErrTooLarge says that a message does not fit the connection's bound.
 var ErrTooLarge = errors.New("message over the size limit")
 
+// ErrNoRoom says that the budget of all connections together has no room for a message.
+var ErrNoRoom = errors.New("no memory left for a message")
+
 var past = time.Unix(1, 0)
 
+// Budget bounds what many connections keep together. A nil one bounds nothing.
+type Budget struct{ left atomic.Int64 }
+
+// NewBudget returns a budget of some bytes.
+func NewBudget(n int64) *Budget {
+	b := &Budget{}
+	b.left.Store(n)
+	return b
+}
+
+// Take takes bytes out of the budget, or says that there are not as many left.
+func (b *Budget) Take(n int) bool {
+	if b == nil || b.left.Add(int64(-n)) >= 0 {
+		return true
+	}
+	b.left.Add(int64(n))
+	return false
+}
+
+// Give gives bytes back.
+func (b *Budget) Give(n int) {
+	if b != nil {
+		b.left.Add(int64(n))
+	}
+}
+
 // Conn is a connection with a read buffer. One goroutine owns it and reads; Wake and Close may come from any.
 type Conn struct {
 	net.Conn
-	buf   []byte // unread bytes are buf[r:w]
-	r, w  int
-	limit int
+	buf    []byte // unread bytes are buf[r:w]
+	r, w   int
+	limit  int
+	budget *Budget // pays for buf past its first size
+	taken  int
 
 	mu     sync.Mutex
 	parked bool
@@ -37,6 +69,15 @@
 // New wraps a connection whose messages are limited to a size.
 func New(c net.Conn, limit int) *Conn { return &Conn{Conn: c, limit: limit} }
 
+// Charge has a budget pay for the buffer where it grows. Release ends that and drops what is unread.
+func (c *Conn) Charge(b *Budget) { c.budget = b }
+
+// Release gives back what the buffer has taken; the connection reads no more.
+func (c *Conn) Release() {
+	c.budget.Give(c.taken)
+	c.buf, c.r, c.w, c.taken = nil, 0, 0, 0
+}
+
 // Buffered is the number of unread bytes in hand.
 func (c *Conn) Buffered() int { return c.w - c.r }
 
@@ -80,7 +121,7 @@
 func (c *Conn) fill(n int) error {
 	if c.r == c.w {
 		if c.r, c.w = 0, 0; len(c.buf) > firstSize && n <= firstSize {
-			c.buf = nil
+			c.Release()
 		}
 	}
 	if n = max(n, c.Buffered()+1); n > c.limit {
@@ -89,7 +130,13 @@
 	if c.r+n > len(c.buf) {
 		to := c.buf
 		if n > len(c.buf) {
-			to = make([]byte, max(firstSize, min(c.limit, n+n/4)))
+			size := max(firstSize, min(c.limit, n+n/4))
+			if more := size - firstSize - c.taken; !c.budget.Take(more) {
+				return ErrNoRoom
+			} else {
+				c.taken += more
+			}
+			to = make([]byte, size)
 		}
 		copy(to, c.buf[c.r:c.w])
 		c.buf, c.r, c.w = to, 0, c.w-c.r
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -33,11 +33,9 @@
 	return c, err
 }
 
-// Ask sends a statement and reads its answer.
+// Ask sends a statement and reads its answer, which may come before all is sent.
 func (c *PostgresClient) Ask(text string) (Reply, error) {
-	if _, err := c.Write(pgwire.Append(nil, 'Q', text, "\x00")); err != nil {
-		return Reply{}, err
-	}
+	go c.Write(pgwire.Append(nil, 'Q', text, "\x00")) // where it fails, so does Read
 	return c.Read()
 }
 
@@ -97,16 +95,14 @@
 
 // send writes what is gathered and reads the first packet of the answer.
 func (c *MySQLClient) send() (Reply, []byte, error) {
-	if _, err := c.Write(c.w.B); err != nil {
-		return Reply{}, nil, err
-	}
+	go c.Write(append([]byte(nil), c.w.B...)) // where it fails, so does the read
 	_, b, err := mysqlwire.ReadPacket(c.Conn)
 	if err != nil || len(b) == 0 || b[0] != mysqlwire.HeadErr {
 		return Reply{Outcome: "served"}, b, err
 	}
 	e, err := mysqlwire.ParseErr(b)
 	r := Reply{Outcome: "failed", Code: fmt.Sprint(e.Code)}
-	if e.Code == 1637 {
+	if e.Code == 1637 || e.Code == 1041 {
 		r.Outcome = "refused"
 	}
 	return r, nil, err
