Follow the discovery that a new configuration names at SIGHUP

Checked and ruled out: the crash is the runtime's default for a signal without a handler; there was no panic in the log. A handler alone would not do: internal/config/config.go set Discovery from PROXY_DISCOVERY after reading the file, so the old address would have won, and the watch in internal/list/list.go (follow) knew one address for its life and would have stayed silent until the old agent closed.

Cause: cmd/cranegate/main.go notified for SIGTERM and SIGINT only; config.parse, the loop over the environment; list.Watcher.Address, read once.

Now: SIGHUP is taken from the program's first line on. config.Reload lets the file's discovery win and keeps the other variables; list.Watcher has a mailbox for a new address and moves at once, keeping the version and the members. A faulty file is logged and changes nothing. The MySQL fleet's discovery, or its hosts in the operator's file, are taken anew the same way.

Tests: TestReload (fails if the handler, the file's precedence or the move is taken out), and TestReloadedDiscoveryWins.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -46,9 +46,16 @@
 	budget   *netbuf.Budget // bytes for what clients send
 	servers  int            // descriptors for the database hosts of each protocol
 	stop     context.Context
-	work     context.Context // outlives stop: what was taken is still answered
-	actors   *errgroup.Group // live as long as work
-	fronts   *errgroup.Group // end some time after stop
+	work     context.Context     // outlives stop: what was taken is still answered
+	actors   *errgroup.Group     // live as long as work
+	fronts   *errgroup.Group     // end some time after stop
+	lists    map[string]followed // by fleet
+}
+
+// followed is what a reload reaches of a fleet.
+type followed struct {
+	watch *list.Watcher
+	core  *core.Core
 }
 
 // fleet is the database hosts of one protocol with the front that serves them.
@@ -61,8 +68,9 @@
 	front                   clients.Front
 }
 
-// run serves until stop ends and all that was taken is answered.
-func run(stop context.Context, p *config.Platform, o *config.Operator) error {
+// run serves until stop ends and all that was taken is answered. At each signal of a changed configuration it is
+// read again.
+func run(stop context.Context, p *config.Platform, o *config.Operator, changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) error {
 	var fleets []fleet
 	var limits config.Limits
 	if p != nil {
@@ -88,7 +96,8 @@
 	defer cancel()
 	half := (limits.Sockets - reserve) / 2
 	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, slots: make(chan struct{}, half),
-		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: half / max(1, len(fleets)), stop: stop, work: work, fronts: &errgroup.Group{}}
+		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: half / max(1, len(fleets)), stop: stop, work: work, fronts: &errgroup.Group{},
+		lists: map[string]followed{}}
 	g.actors, _ = errgroup.WithContext(work)
 	g.status.Free = func() float64 { return 1 - float64(len(g.slots))/float64(cap(g.slots)) }
 	g.actors.Go(func() error { g.logOnRequest(); return nil })
@@ -103,6 +112,7 @@
 			return fmt.Errorf("serving %s: %w", f.name, err)
 		}
 	}
+	g.actors.Go(func() error { g.reloads(changed, reread); return nil })
 	g.status.Set(balancers.Ready)
 	log.Printf("event=serving fronts=%d memory_mb=%d sockets=%d", len(fleets), limits.MemoryMB, limits.Sockets)
 	<-stop.Done()
@@ -119,6 +129,36 @@
 	}
 }
 
+// reloads reads the configuration again at each signal. It moves the watches on discovery, and takes the hosts of a
+// fleet that stand in the file itself; all else holds from the start on. A configuration with a fault is logged and
+// changes nothing.
+func (g *gateway) reloads(changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) {
+	for {
+		select {
+		case <-changed:
+		case <-g.work.Done():
+			return
+		}
+		p, o, err := reread()
+		if err != nil {
+			g.counters.Add("reloads_failed", 1)
+			log.Printf("event=reload_failed error=%q", err)
+			continue
+		}
+		g.counters.Add("reloads", 1)
+		log.Printf("event=reloaded")
+		if f, ok := g.lists["postgres"]; ok && p != nil && p.Discovery != "" {
+			f.watch.Move(p.Discovery)
+		}
+		if f, ok := g.lists["mysql"]; ok && o != nil && o.MySQL != nil {
+			f.watch.Move(o.MySQL.Discovery)
+			if o.MySQL.Discovery == "" {
+				f.core.Members(list.Snapshot{All: true, Targets: o.MySQL.Hosts}.List(rules.ListWhole))
+			}
+		}
+	}
+}
+
 // mysqlFleet sets up the second front. Its prepares are a class of their own, so that their short round trips
 // are not taken for those of statements.
 func mysqlFleet(o *config.Operator) fleet {
@@ -148,10 +188,9 @@
 	if len(f.known.Targets) > 0 {
 		c.Members(f.known.List(rules.ListStale))
 	}
-	if f.discovery != "" {
-		w := &list.Watcher{Address: f.discovery, Rev: f.known.Rev, Tell: c.Members, Counters: g.counters}
-		g.actors.Go(func() error { return w.Run(g.work) })
-	}
+	w := list.NewWatcher(f.discovery, f.known.Rev, c.Members, g.counters)
+	g.actors.Go(func() error { return w.Run(g.work) })
+	g.lists[f.name] = followed{w, c}
 	select {
 	case <-c.Ready():
 	case <-g.stop.Done():
--- a/cmd/cranegate/main.go
+++ b/cmd/cranegate/main.go
@@ -21,9 +21,14 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	p, o, err := load(os.Getenv("PROXY_CONFIG"), *operator)
+	changed := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	signal.Notify(changed, syscall.SIGHUP)
+	path := os.Getenv("PROXY_CONFIG")
+	p, o, err := load(path, *operator, config.Load)
 	if err == nil {
-		err = run(ctx, p, o)
+		err = run(ctx, p, o, changed, func() (*config.Platform, *config.Operator, error) {
+			return load(path, *operator, config.Reload)
+		})
 	}
 	if err != nil {
 		log.Printf("event=ended error=%q", err)
@@ -32,13 +37,13 @@
 }
 
 // load reads the configuration; what is not given is nil.
-func load(platform, operator string) (p *config.Platform, o *config.Operator, err error) {
+func load(platform, operator string, read func(string) (*config.Platform, error)) (p *config.Platform, o *config.Operator, err error) {
 	if platform == "" && operator == "" {
 		return nil, nil, errors.New("neither PROXY_CONFIG nor an operator's file is given")
 	}
 	var s *config.Settings
 	if platform != "" {
-		if p, err = config.Load(platform); err != nil {
+		if p, err = read(platform); err != nil {
 			return nil, nil, err
 		}
 		s = &p.Settings
--- a/cmd/cranegate/main_test.go
+++ b/cmd/cranegate/main_test.go
@@ -59,10 +59,21 @@
 	targets                    []list.Target
 	discovery                  *standin.Discovery
 	pg, my, agent, health, log string
+	config                     map[string]any // as PROXY_CONFIG holds it, at path
+	path                       string
 	cmd                        *exec.Cmd
 	out                        *output
 }
 
+// write puts the configuration in place.
+func (w *world) write() {
+	w.t.Helper()
+	text, _ := json.Marshal(w.config)
+	if err := os.WriteFile(w.path, text, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // listen gives a listener on a port of its own, closed at the end.
 func listen(t *testing.T) net.Listener {
 	t.Helper()
@@ -100,27 +111,25 @@
 	agent := listen(t)
 	go http.Serve(agent, w.discovery)
 
-	var config map[string]any
 	text, err := os.ReadFile("../../examples/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := json.Unmarshal(text, &config); err != nil {
+	if err := json.Unmarshal(text, &w.config); err != nil {
 		t.Fatal(err)
 	}
-	config["listen"], config["discovery"] = w.pg, agent.Addr().String()
-	config["known"] = list.Snapshot{Rev: 0, All: true, Targets: w.targets}
-	text, _ = json.Marshal(config)
+	w.config["listen"], w.config["discovery"] = w.pg, agent.Addr().String()
+	w.config["known"] = list.Snapshot{Rev: 0, All: true, Targets: w.targets}
 	dir := t.TempDir()
+	w.path = filepath.Join(dir, "config.json")
+	w.write()
 	operator := fmt.Sprintf("[agent_check]\nlisten = %q\n[health]\nlisten = %q\n[mysql]\nlisten = %q\n%s", w.agent, w.health,
 		w.my, mysqlHosts.String())
-	for name, b := range map[string][]byte{"config.json": text, "operator.toml": []byte(operator)} {
-		if err := os.WriteFile(filepath.Join(dir, name), b, 0o600); err != nil {
-			t.Fatal(err)
-		}
+	if err := os.WriteFile(filepath.Join(dir, "operator.toml"), []byte(operator), 0o600); err != nil {
+		t.Fatal(err)
 	}
 	w.cmd = exec.Command(program, "-operator", filepath.Join(dir, "operator.toml"))
-	w.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(dir, "config.json"))
+	w.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+w.path, "PROXY_DISCOVERY="+agent.Addr().String())
 	w.cmd.Stdout, w.cmd.Stderr = w.out, w.out
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -245,24 +254,85 @@
 	}
 	w.targets[1].State = "DRAINING"
 	w.discovery.Set(w.targets)
-	counter := func() string {
-		r, err := http.Get("http://" + w.health + "/counters")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer r.Body.Close()
-		b, _ := io.ReadAll(r.Body)
-		return string(b)
+	w.until("the watch's answers", func() bool { return strings.Contains(w.counts(), "list_changes=2") })
+	w.onlyFirst(p, "d")
+}
+
+// counts are the program's counters.
+func (w *world) counts() string {
+	w.t.Helper()
+	r, err := http.Get("http://" + w.health + "/counters")
+	if err != nil {
+		w.t.Fatal(err)
 	}
-	w.until("the watch's answers", func() bool { return strings.Contains(counter(), "list_answers=2") })
+	defer r.Body.Close()
+	b, _ := io.ReadAll(r.Body)
+	return string(b)
+}
+
+// onlyFirst checks that reads are served, and none by the second host.
+func (w *world) onlyFirst(p *standin.PostgresClient, prefix string) {
+	w.t.Helper()
 	for i := range 20 {
-		id := fmt.Sprint("d", i)
+		id := fmt.Sprint(prefix, i)
 		if r, err := p.Ask(fmt.Sprintf(read, id, id)); err != nil || r.Outcome != "served" || w.hosts[1].Ran(id) > 0 {
-			t.Fatalf("%s: %+v, %v, ran %d times at the drained host", id, r, err, w.hosts[1].Ran(id))
+			w.t.Fatalf("%s: %+v, %v, ran %d times at the drained host", id, r, err, w.hosts[1].Ran(id))
 		}
 	}
 }
 
+// TestReload guards what a SIGHUP is for: the program lives on, follows the address that the new file names though
+// the environment names another, keeps clients and the list's version, and passes over a file with a fault. A
+// SIGTERM right behind a SIGHUP still ends it in order.
+func TestReload(t *testing.T) {
+	w := start(t, nil)
+	p, err := standin.DialPostgres(w.dial(w.pg), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.until("the first list", func() bool { return strings.Contains(w.counts(), "list_changes=1") })
+	next := &standin.Discovery{}
+	next.Set(w.targets)
+	var mu sync.Mutex
+	var asked []string
+	agent := listen(t)
+	go http.Serve(agent, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		asked = append(asked, r.FormValue("after"))
+		mu.Unlock()
+		next.ServeHTTP(rw, r)
+	}))
+	count := func() int { mu.Lock(); defer mu.Unlock(); return len(asked) }
+
+	good := w.config["discovery"]
+	w.config["discovery"] = "no address"
+	w.write()
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.until("the fault", func() bool { return strings.Contains(w.counts(), "reloads_failed=1") })
+	if r, err := p.Ask(fmt.Sprintf(read, "f", "f")); err != nil || r.Outcome != "served" {
+		t.Errorf("after a file with a fault: %+v, %v", r, err)
+	}
+	if w.config["discovery"] = agent.Addr().String(); w.config["discovery"] == good {
+		t.Fatal("the address did not change")
+	}
+	w.write()
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.until("a call to the new address", func() bool { return count() > 0 })
+	if mu.Lock(); asked[0] != "1" {
+		t.Errorf("the new address was asked for news after %q", asked[0])
+	}
+	mu.Unlock()
+	w.targets[1].State = "DRAINING"
+	next.Set(w.targets)
+	w.until("the news", func() bool { return strings.Contains(w.counts(), "list_changes=2") })
+	w.onlyFirst(p, "r")
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	if err := w.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 // TestStop guards the end after SIGTERM: what was taken is answered, new clients come for a while, balancers are
 // told, idle clients are let go, and the program exits with 0.
 func TestStop(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -15,6 +16,8 @@
 	"cranegate/rules"
 )
 
+const discoveryVariable = "PROXY_DISCOVERY"
+
 // Limits are the platform's limits on this gateway.
 type Limits struct {
 	Cores    float64 `json:"cores" toml:"cores"`
@@ -48,6 +51,29 @@
 	return parse(text, os.Getenv)
 }
 
+// Reload reads a platform's configuration that has been replaced while the program runs. Its discovery is newer
+// than that of the environment, which stays as it was at the start.
+func Reload(path string) (*Platform, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	return reparse(text, os.Getenv)
+}
+
+func reparse(text []byte, env func(string) string) (*Platform, error) {
+	p, err := parse(text, func(name string) string {
+		if name == discoveryVariable {
+			return ""
+		}
+		return env(name)
+	})
+	if err == nil && p.Discovery == "" {
+		p.Discovery = env(discoveryVariable)
+	}
+	return p, err
+}
+
 func parse(text []byte, env func(string) string) (*Platform, error) {
 	var in struct {
 		Name, Listen, Discovery, Seed string
@@ -62,7 +88,7 @@
 	}
 	p := &Platform{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known}
 	for name, to := range map[string]*string{"PROXY_NAME": &p.Name, "PROXY_LISTEN": &p.Listen,
-		"PROXY_DISCOVERY": &p.Discovery} {
+		discoveryVariable: &p.Discovery} {
 		if v := env(name); v != "" {
 			*to = v
 		}
@@ -74,6 +100,11 @@
 	if p.Settings, err = ReadSettings(in.Settings); err != nil {
 		return nil, fmt.Errorf("reading the settings: %w", err)
 	}
+	if p.Discovery != "" {
+		if _, _, err := net.SplitHostPort(p.Discovery); err != nil {
+			return nil, fmt.Errorf("reading discovery: %w", err)
+		}
+	}
 	return p, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,3 +58,30 @@
 		}
 	}
 }
+
+// TestReloadedDiscoveryWins guards a reload against the environment, which still names the address of the start; a
+// file that names none leaves that in force.
+func TestReloadedDiscoveryWins(t *testing.T) {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	env := func(name string) string {
+		return map[string]string{"PROXY_DISCOVERY": "127.0.0.1:1", "PROXY_LISTEN": "127.0.0.1:2"}[name]
+	}
+	first, err := parse(text, env)
+	if err != nil || first.Discovery != "127.0.0.1:1" {
+		t.Fatalf("at the start: %+v, %v", first, err)
+	}
+	again, err := reparse(text, env)
+	if err != nil || again.Discovery == first.Discovery || again.Listen != "127.0.0.1:2" {
+		t.Errorf("at a reload: %+v, %v", again, err)
+	}
+	none := strings.Replace(string(text), again.Discovery, "", 1)
+	if p, err := reparse([]byte(none), env); err != nil || p.Discovery != first.Discovery {
+		t.Errorf("without an address: %+v, %v", p, err)
+	}
+	if _, err := reparse([]byte(strings.Replace(string(text), again.Discovery, "nowhere", 1)), env); err == nil {
+		t.Error("a wrong address passes")
+	}
+}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -66,21 +66,51 @@
 
 // Watcher is the list's actor.
 type Watcher struct {
-	Address  string
-	Rev      int64 // of the list known at the start
-	Tell     func(core.List)
-	Counters *stats.Counters
+	address  string
+	rev      int64
+	tell     func(core.List)
+	counters *stats.Counters
+	moves    chan string // its mailbox; a newer address takes an older one's place
+}
+
+// NewWatcher makes the actor, which knows the list up to a version; Run starts it. With no address there is nothing
+// to follow until Move names one.
+func NewWatcher(address string, rev int64, tell func(core.List), counters *stats.Counters) *Watcher {
+	return &Watcher{address: address, rev: rev, tell: tell, counters: counters, moves: make(chan string, 1)}
+}
+
+// Move has the watch go on at another address at once. What is known of the list stays, and so does its version,
+// so the new address tells just what has changed since. One goroutine at a time may call it; it never waits.
+func (w *Watcher) Move(address string) {
+	select {
+	case <-w.moves:
+	default:
+	}
+	w.moves <- address
 }
 
 // Run follows the list until the context ends. While discovery is silent the old list stays.
 func (w *Watcher) Run(ctx context.Context) error {
 	var logged time.Time
 	for ctx.Err() == nil {
-		err := w.follow(ctx)
+		call, stop := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- w.follow(call, w.address) }()
+		var err error
+		select {
+		case address := <-w.moves:
+			stop()
+			<-ended
+			w.address = address
+			log.Printf("event=list_moved address=%s rev=%d", address, w.rev)
+			continue
+		case err = <-ended:
+			stop()
+		}
 		if ctx.Err() != nil {
 			break
 		}
-		w.Counters.Add("list_calls_failed", 1)
+		w.counters.Add("list_calls_failed", 1)
 		if now := time.Now(); now.Sub(logged) > time.Second { // an outage fails many
 			logged = now
 			log.Printf("event=list_call_failed error=%q", err)
@@ -94,9 +124,13 @@
 }
 
 // follow makes calls on one connection, each at once after the last answer.
-func (w *Watcher) follow(ctx context.Context) error {
+func (w *Watcher) follow(ctx context.Context, address string) error {
+	if address == "" {
+		<-ctx.Done()
+		return nil
+	}
 	d := net.Dialer{Timeout: dialFor}
-	raw, err := d.DialContext(ctx, "tcp", w.Address)
+	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("connecting to discovery: %w", err)
 	}
@@ -104,13 +138,13 @@
 	defer context.AfterFunc(ctx, func() { raw.Close() })()
 	c := netbuf.New(raw, mostTold)
 	for {
-		target := "/discovery/hosts?after=" + strconv.FormatInt(w.Rev, 10) + "&wait_ms=" +
+		target := "/discovery/hosts?after=" + strconv.FormatInt(w.rev, 10) + "&wait_ms=" +
 			strconv.FormatInt(waitFor.Milliseconds(), 10)
-		if w.Rev < 0 {
+		if w.rev < 0 {
 			target = "/discovery/hosts"
 		}
 		c.SetDeadline(time.Now().Add(waitFor + patience))
-		body, again, err := get(c, w.Address, target)
+		body, again, err := get(c, address, target)
 		if err != nil {
 			return fmt.Errorf("asking discovery: %w", err)
 		}
@@ -118,12 +152,14 @@
 		if err := json.Unmarshal(body, &s); err != nil {
 			return fmt.Errorf("reading the list: %w", err)
 		}
-		if w.Rev = s.Rev; s.All {
-			w.Tell(s.List(rules.ListWhole))
+		if w.rev = s.Rev; s.All {
+			w.counters.Add("list_changes", 1)
+			w.tell(s.List(rules.ListWhole))
 		} else if len(s.Targets) > 0 {
-			w.Tell(s.List(rules.ListPatch))
+			w.counters.Add("list_changes", 1)
+			w.tell(s.List(rules.ListPatch))
 		}
-		w.Counters.Add("list_answers", 1)
+		w.counters.Add("list_answers", 1)
 		if !again {
 			return errors.New("discovery closed the connection")
 		}
