Keep what bad clients send away from the hosts, and let them go in time

A probe that printed what hosts answered showed two kinds: statements without an id (hosts close: 76 breaks) and copies of another client's open id (hosts answer 42601, some 300). Each break counted against the host (failures of member.failed, two of which make a suspect) and each 42601 went into its window as a lost round trip (ratio 1e9), was repeated at other members, and spent the budget of repeats. A second probe showed 600 unusable commands at a time on one connection, each answered by itself.

Checked and ruled out: neither crashes nor memory (8 to 10 MB of 64); oversize and malformed messages were already answered from their header.

Cause: clients/postgres query() took a statement without an id; nothing compared ids; servers/postgres outcome() and servers/mysql result() took every unlisted error for the host's; clients.go startFor, messageFor.

Now: ids are wanted on the platform's front and unique among open requests on both; ResultRejected tells the module that a statement is at fault, which ends the request and says nothing of the host; 2.5 s for strangers, 10 s a message for others; 16 unusable messages in a row end a connection; d is at most the class's deadline; at most one log line a second about clients at fault, the counter tells how many there were.

Tests: TestBadClients (ten kinds on both fronts, each told or let go within 3 s, the open request kept), TestPoorLink, and two rows of TestOutcomesAreAlike for the rejected statement.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,16 +23,25 @@
 )
 
 const (
-	stopAfter  = 500 * time.Millisecond // after a stop, new connections go on being taken for this long
-	finishFor  = 300 * time.Millisecond // and a message that has begun to come in has this long to end
-	writeFor   = 5 * time.Second        // a client that takes no answer for this long is let go
-	messageFor = 30 * time.Second       // and so long for the whole of any message that has begun
-	startFor   = 10 * time.Second       // a connection says who it is within this time
-	acceptWait = 20 * time.Millisecond  // after a failed accept
-	lingerFor  = 300 * time.Millisecond // what follows an error that ends a connection is passed over so long,
-	mostPassed = 256 << 10              // and so much of it
+	stopAfter  = 500 * time.Millisecond  // after a stop, new connections go on being taken for this long
+	finishFor  = 300 * time.Millisecond  // and a message that has begun to come in has this long to end
+	writeFor   = 5 * time.Second         // a client that takes no answer for this long is let go
+	messageFor = 10 * time.Second        // and so long for the whole of any message that has begun,
+	startFor   = 2500 * time.Millisecond // but a client that has asked nothing yet only till this long after it came,
+	firstFor   = time.Second             // or for this long
+	acceptWait = 20 * time.Millisecond   // after a failed accept
+	lingerFor  = 300 * time.Millisecond  // what follows an error that ends a connection is passed over so long,
+	mostPassed = 256 << 10               // and so much of it
+	mostFaults = 16                      // messages in a row of which nothing can be made
+	logEvery   = time.Second             // a line about clients that are at fault
 )
 
+// ErrFaults says that a client has sent nothing but what can't be used for too long.
+var ErrFaults = errors.New("too many messages at fault")
+
+// ErrOpen says that another request of the same id is open.
+var ErrOpen = errors.New("a request with this id is open already")
+
 // ErrGone says that the client has left.
 var ErrGone = errors.New("the client has left")
 
@@ -59,11 +69,16 @@
 	Counters *stats.Counters
 
 	stopping atomic.Bool
+
+	mu     sync.Mutex
+	open   map[string]bool // the ids of open requests
+	logged time.Time       // when a client at fault was logged last
 }
 
 // Run accepts clients until the context ends, and some time longer; then it closes the listener and the idle
 // connections, and returns once every request taken has its answer.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	s.open = map[string]bool{}
 	var group errgroup.Group
 	stop := context.AfterFunc(ctx, func() {
 		time.Sleep(stopAfter)
@@ -83,6 +98,7 @@
 		}
 		s.Counters.Add(s.Name+"_clients", 1)
 		x := &Session{Conn: netbuf.New(conn, s.Front.Limit()), server: s, starts: time.Now().Add(startFor)}
+		x.proves = x.starts
 		if s.Room.enter(x) {
 			group.Go(func() error { s.serve(x); return nil })
 			continue
@@ -105,6 +121,17 @@
 		linger(conn)
 	}
 	if err != nil && !errors.Is(err, ErrGone) && !errors.Is(err, errStopped) {
+		s.fault(conn, err)
+	}
+}
+
+// fault counts a client that was at fault. Only some are logged: those who send rubbish send much of it.
+func (s *Server) fault(conn net.Conn, err error) {
+	s.Counters.Add(s.Name+"_clients_at_fault", 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.logged) > logEvery {
+		s.logged = now
 		log.Printf("event=client_ended front=%s peer=%s error=%q", s.Name, conn.RemoteAddr(), err)
 	}
 }
@@ -126,7 +153,9 @@
 	*netbuf.Conn
 	server  *Server
 	starts  time.Time // until when the client must have said who it is; zero once it has
+	proves  time.Time // until when a first request must be whole; zero once one was good
 	arrived time.Time
+	faults  int // messages in a row that could not be used
 
 	leaving atomic.Bool // its place is wanted: it ends unless something has come
 	resting time.Time   // since when nothing is open, zero while something is; like silent, owned by the room
@@ -172,6 +201,10 @@
 	until := time.Now().Add(messageFor)
 	if !x.starts.IsZero() {
 		until = x.starts
+	} else if !x.proves.IsZero() { // what a device on a poor link gets, a stranger does not
+		if until = time.Now().Add(firstFor); until.Before(x.proves) {
+			until = x.proves
+		}
 	}
 	if x.server.stopping.Load() {
 		until = time.Now().Add(finishFor)
@@ -197,9 +230,47 @@
 	return err
 }
 
-// Ask hands a request to the core and waits for its answer, watching for the client's close. The request keeps
-// about so many bytes till then; where there is no room for them it is refused, and nothing has run.
-func (x *Session) Ask(q *core.Request, size int) (core.Answer, error) {
+// Fault counts a message that could not be used. ErrFaults says that the client has sent enough of them.
+func (x *Session) Fault() error {
+	if x.faults++; x.faults >= mostFaults {
+		return ErrFaults
+	}
+	return nil
+}
+
+// Good says that a message could be used.
+func (x *Session) Good() { x.faults = 0 }
+
+// begin marks a request's id as open. False says that it is: database hosts would take the second for an attempt of
+// the first. Requests without an id are never the same.
+func (s *Server) begin(id string) bool {
+	if id == "" {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[id] {
+		return false
+	}
+	s.open[id] = true
+	return true
+}
+
+func (s *Server) end(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, id)
+}
+
+// Ask hands a request to the core and waits for its answer, watching for the client's close. The id is the client's
+// own; ErrOpen says that it is that of an open request, and nothing has run. The request keeps about so many bytes
+// till then; where there is no room for them it is refused, and nothing has run.
+func (x *Session) Ask(q *core.Request, id string, size int) (core.Answer, error) {
+	if !x.server.begin(id) {
+		return core.Answer{}, ErrOpen
+	}
+	defer x.server.end(id)
+	x.faults, x.proves = 0, time.Time{}
 	if !x.server.Budget.Take(size) {
 		x.server.Counters.Add(x.server.Name+"_no_room", 1)
 		return core.Answer{Status: core.Refused}, nil
--- a/internal/clients/model_test.go
+++ b/internal/clients/model_test.go
@@ -49,7 +49,7 @@
 		Kind:  rapid.SampledFrom([]string{"ask", "ask", "ask", "ask", "leave", "die", "drain", "cut"}).Draw(t, "kind"),
 		Form:  rapid.SampledFrom(forms[1:]).Draw(t, "form"),
 		Class: rapid.SampledFrom([]string{"look", "put"}).Draw(t, "class"),
-		Acts:  rapid.SliceOfN(rapid.Custom(func(t *rapid.T) standin.Act { return standin.Act(rapid.IntRange(0, 5).Draw(t, "act")) }), 1, 4).Draw(t, "acts"),
+		Acts:  rapid.SliceOfN(rapid.Custom(func(t *rapid.T) standin.Act { return standin.Act(rapid.IntRange(0, 6).Draw(t, "act")) }), 1, 4).Draw(t, "acts"),
 		Stays: ms("stays", 900)}
 }), 1, 25)
 
--- a/internal/clients/mysql/mysql.go
+++ b/internal/clients/mysql/mysql.go
@@ -37,6 +37,7 @@
 var (
 	errTooMany   = mysqlwire.Error{Code: 1040, State: "08004", Text: "too many clients"}
 	errCommand   = mysqlwire.Error{Code: 1047, State: "08S01", Text: "command not served"}
+	errOpen      = mysqlwire.Error{Code: 1062, State: "23000", Text: clients.ErrOpen.Error()}
 	errSyntax    = mysqlwire.Error{Code: 1064, State: "42000"}
 	errFailed    = mysqlwire.Error{Code: 1105, State: "HY000", Text: "failed, it may have run"}
 	errMemory    = mysqlwire.Error{Code: 1041, State: "HY000", Text: "no memory left for it, nothing has run"}
@@ -81,7 +82,11 @@
 		if body[0] == mysqlwire.ComQuit {
 			return nil
 		}
-		if err := c.command(body[0], body[1:]); err != nil {
+		err = c.command(body[0], body[1:])
+		if err == nil {
+			err = c.faults
+		}
+		if err != nil {
 			return c.fatal(err)
 		}
 		if len(c.w.B) > 0 {
@@ -99,6 +104,7 @@
 	caps       uint32
 	statements map[uint32]*prepared
 	lastID     uint32
+	faults     error // it has sent too many commands in a row that could not be used
 }
 
 // prepared is a statement under the id that the client knows.
@@ -144,6 +150,8 @@
 		c.w.Reset(c.w.Seq)
 		c.w.Err(errMemory, c.caps)
 		c.Send(c.w.B)
+	case errors.Is(err, clients.ErrFaults):
+		c.Send(c.w.B) // the last error ends it
 	case errors.Is(err, mysqlwire.ErrMalformed):
 		c.w.Reset(c.w.Seq)
 		c.w.Err(errCommand, c.caps)
@@ -173,12 +181,13 @@
 	s.long, s.size, s.spoilt = nil, 0, false
 }
 
-// err answers with an error; the connection lives on.
+// err answers with an error; the connection lives on, but for a client that does nothing else.
 func (c *client) err(e mysqlwire.Error, text string) {
 	if text != "" {
 		e.Text = text
 	}
 	c.w.Err(e, c.caps)
+	c.faults = c.Fault()
 }
 
 // command answers one command. An error means that the connection must end.
@@ -221,7 +230,10 @@
 	return nil
 }
 
-func (c *client) ok() { c.w.OK(mysqlwire.HeadOK, mysqlwire.OK{}, c.caps) }
+func (c *client) ok() {
+	c.w.OK(mysqlwire.HeadOK, mysqlwire.OK{}, c.caps)
+	c.Good()
+}
 
 // statement finds the statement that a command names, or answers that there is none.
 func (c *client) statement(cursor *mysqlwire.Cursor) *prepared {
@@ -248,7 +260,8 @@
 	}
 	if len(bytes.Trim(trimmed, ";")) == 0 {
 		<-c.Core().Ready()
-		c.err(mysqlwire.Error{Code: 1065, State: "42000"}, "query was empty")
+		c.w.Err(mysqlwire.Error{Code: 1065, State: "42000", Text: "query was empty"}, c.caps)
+		c.Good()
 		return nil
 	}
 	meta, err := statement.Parse(text)
@@ -280,7 +293,7 @@
 		return nil
 	}
 	a, err := c.Ask(&core.Request{Class: PrepareClass, Group: meta.Group,
-		Payload: &mysqlwire.Command{Kind: mysqlwire.ComStmtPrepare, Statement: s.Statement}}, 0)
+		Payload: &mysqlwire.Command{Kind: mysqlwire.ComStmtPrepare, Statement: s.Statement}}, "", 0)
 	if err != nil || a.Status != core.Served {
 		c.let(s) // a late answer of a member finds it dropped, and closes it there
 		if err == nil {
@@ -362,8 +375,11 @@
 	}
 	command.Meta = meta
 	a, err := c.Ask(&core.Request{Class: meta.Class, Group: meta.Group, Session: meta.Key, Wait: meta.Wait,
-		After: meta.After, Repeat: meta.Repeat, Payload: command}, size)
-	if err != nil {
+		After: meta.After, Repeat: meta.Repeat, Payload: command}, meta.ID, size)
+	if errors.Is(err, clients.ErrOpen) {
+		c.err(errOpen, "")
+		return nil
+	} else if err != nil {
 		return err
 	}
 	if a.Status == core.Served {
--- a/internal/clients/outcomes_test.go
+++ b/internal/clients/outcomes_test.go
@@ -17,7 +17,7 @@
 // TestOutcomesAreAlike guards the promise that both protocols, and both ways to send a MySQL statement, turn what
 // a host does into the same answer, and run a statement the same number of times.
 func TestOutcomesAreAlike(t *testing.T) {
-	const s, m, f, e, r, x = standin.Serve, standin.Miss, standin.Full, standin.Error, standin.Reset, standin.Silent
+	const s, m, f, e, r, x, j = standin.Serve, standin.Miss, standin.Full, standin.Error, standin.Reset, standin.Silent, standin.Reject
 	for _, c := range []struct {
 		class string
 		acts  []standin.Act // of the attempts in order; the last goes on
@@ -30,6 +30,8 @@
 		{"look", []standin.Act{f, s}, false, "served", 1},
 		{"look", []standin.Act{e, s}, false, "served", 2},
 		{"look", []standin.Act{r, s}, false, "served", 2},
+		{"look", []standin.Act{j, s}, false, "failed", 0}, // no other member would do better
+		{"put", []standin.Act{j, s}, false, "failed", 0},
 		{"look", []standin.Act{f}, false, "refused", 0},
 		{"look", nil, true, "refused", 0},
 		{"put", []standin.Act{s}, false, "served", 1},
@@ -268,7 +270,7 @@
 		inBubble(t, func() (err error) {
 			hold := make(chan struct{})
 			act := func(id, _ string, _ bool) standin.Act {
-				if id == "big" {
+				if strings.HasPrefix(id, "big") {
 					<-hold
 				}
 				return standin.Serve
@@ -277,14 +279,14 @@
 			defer func() { err = cmp.Or(err, rig.close()) }()
 			outcomes := map[string]int{}
 			answers := make(chan string)
-			for range 8 {
+			for i := range 8 {
 				a, err := rig.asker(form)
 				if err != nil {
 					return err
 				}
 				defer a.leave()
 				go func() {
-					got, _ := a.say("/* id=big,c=put,cluster=4 */ INSERT INTO records (k) VALUES ('" + strings.Repeat("x", 60<<10) + "')")
+					got, _ := a.say(fmt.Sprintf("/* id=big%d,c=put,cluster=4 */ INSERT INTO records (k) VALUES ('%s')", i, strings.Repeat("x", 60<<10)))
 					answers <- got.Outcome
 				}()
 			}
--- a/internal/clients/postgres/postgres.go
+++ b/internal/clients/postgres/postgres.go
@@ -63,18 +63,19 @@
 			if c.skipping = kind != 'F'; !c.skipping {
 				c.out = pgwire.AppendReady(c.out)
 			}
+			err = c.Fault()
 		case 'S':
 			c.skipping = false
 			c.out = pgwire.AppendReady(c.out)
 		case 'H', 'd', 'c', 'f': // nothing is owed for these
 		default:
-			return c.fatal(pgwire.ErrMalformed)
+			err = pgwire.ErrMalformed
 		}
 		if err == nil && len(c.out) > 0 {
 			err = x.Send(c.out)
 		}
 		if err != nil {
-			return err
+			return c.fatal(err)
 		}
 		if cap(c.out) > 16<<10 {
 			c.out = nil
@@ -124,6 +125,8 @@
 		c.Send(pgwire.AppendError(nil, "FATAL", codeTooLarge, "message too large", ""))
 	case errors.Is(err, netbuf.ErrNoRoom): // nothing of it was taken
 		c.Send(pgwire.AppendError(nil, "FATAL", codeRefused, "no memory for a message", ""))
+	case errors.Is(err, clients.ErrFaults):
+		c.Send(pgwire.AppendError(nil, "FATAL", codeSyntax, "too many messages at fault", ""))
 	case errors.Is(err, pgwire.ErrMalformed):
 		c.Send(pgwire.AppendError(nil, "FATAL", codeProtocol, "malformed message", ""))
 	}
@@ -134,26 +137,32 @@
 func (c *client) query(body []byte) error {
 	text, rest, err := pgwire.Text(body)
 	if err != nil || len(rest) > 0 {
-		return c.fatal(pgwire.ErrMalformed)
+		return pgwire.ErrMalformed
 	}
 	if len(bytes.Trim(text, " \t\r\n;")) == 0 {
 		<-c.Core().Ready()
 		c.out = pgwire.AppendReady(pgwire.Append(c.out, 'I'))
+		c.Good()
 		return nil
 	}
 	s, err := statement.Parse(text)
 	if err == nil && !c.Core().HasClass(s.Class) {
 		err = errors.New("unknown class")
+	} else if err == nil && s.ID == "" { // database hosts close on it, whatever else they hold
+		err = errors.New("no id")
+	}
+	var a core.Answer
+	if err == nil {
+		a, err = c.Ask(&core.Request{Class: s.Class, Group: s.Group, Session: s.Key, Wait: s.Wait, After: s.After,
+			Repeat: s.Repeat, Payload: s}, s.ID, len(text))
+		if err != nil && !errors.Is(err, clients.ErrOpen) {
+			return err
+		}
 	}
 	if err != nil {
 		c.Counters().Add("postgres_statements_unknown", 1)
 		c.out = pgwire.AppendReady(pgwire.AppendError(c.out, "ERROR", codeSyntax, err.Error(), ""))
-		return nil
-	}
-	a, err := c.Ask(&core.Request{Class: s.Class, Group: s.Group, Session: s.Key, Wait: s.Wait, After: s.After,
-		Repeat: s.Repeat, Payload: s}, len(text))
-	if err != nil {
-		return err
+		return c.Fault()
 	}
 	switch a.Status {
 	case core.Served:
--- a/internal/clients/room_test.go
+++ b/internal/clients/room_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 
 // guest is a client as the model of a full room sees it.
 type guest struct {
+	id    int
 	kind  string // "silent", "asked", "half" of a message sent, or "open": its request is out
 	conn  net.Conn
 	since time.Time // when it came to this
@@ -60,7 +62,7 @@
 	check(t, steps, func(plan []step) error {
 		hold := make(chan struct{})
 		rig := newRigFor(4, false, &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act {
-			if id == "open" {
+			if strings.HasPrefix(id, "open") {
 				<-hold
 			}
 			return standin.Serve
@@ -91,7 +93,7 @@
 			if !first.IsZero() && wait >= 280*time.Millisecond && wait < 320*time.Millisecond {
 				clear = false // it may be either
 			}
-			g := &guest{kind: s.Kind, ended: make(chan struct{}), conn: rig.connect()}
+			g := &guest{id: i, kind: s.Kind, ended: make(chan struct{}), conn: rig.connect()}
 			defer g.conn.Close()
 			got, err := g.play(wait)
 			if err != nil {
@@ -148,13 +150,14 @@
 		g.conn.SetReadDeadline(time.Time{})
 		g.since = time.Now().Add(-15 * time.Millisecond)
 	case "asked":
-		if r, err := c.Ask("/* id=1,c=look,d=900,cluster=4 */ SELECT v FROM records WHERE k = 'a'"); err != nil || r.Outcome == "" { // shed, perhaps, where another's request is slow
+		if r, err := c.Ask(fmt.Sprintf("/* id=asked%d,c=look,d=900,cluster=4 */ SELECT v FROM records WHERE k = 'a'", g.id)); err != nil || r.Outcome == "" { // shed, perhaps, where another's request is slow
 			return false, fmt.Errorf("%+v, %v", r, err)
 		}
 	case "half":
 		g.conn.Write([]byte{'Q', 0, 0})
 	case "open":
-		g.conn.Write(pgwire.Append(nil, 'Q', "/* id=open,c=look,d=900,cluster=4 */ SELECT v FROM records WHERE k = 'a'\x00"))
+		g.conn.Write(pgwire.Append(nil, 'Q',
+			fmt.Sprintf("/* id=open%d,c=look,d=900,cluster=4 */ SELECT v FROM records WHERE k = 'a'\x00", g.id)))
 	}
 	if g.since.IsZero() {
 		g.since = time.Now()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,7 +38,7 @@
 	Group   int
 	Session string
 	Arrived time.Time     // when its last byte was read
-	Wait    time.Duration // how long the client waits from then on, 0 for the class's deadline
+	Wait    time.Duration // how long the client waits from then on; 0 for the class's deadline, which is the most
 	After   int64         // Unix time in milliseconds that a session's read has to see, 0 for none
 	Repeat  bool
 	Payload any // the statement, in its protocol's form
@@ -193,7 +193,7 @@
 	c.lastID++
 	q.id, q.class = c.lastID, &c.opt.Rules.Classes[class]
 	arrived := min(c.now, c.clock.at(q.Arrived))
-	if q.Wait <= 0 {
+	if q.Wait <= 0 || q.Wait > q.class.Deadline { // later the answer is worth nothing
 		q.Wait = q.class.Deadline
 	}
 	q.deadline = arrived + q.Wait
--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"cranegate/internal/core"
@@ -46,7 +47,8 @@
 		1203: true, // this user has too many
 		1226: true, // this user's resources are used up
 	}
-	fullState = "53300" // the platform's word for turned away
+	fullState     = "53300" // the platform's word for turned away
+	classRejected = "42"    // the statement itself can't be used, here or elsewhere: it was read and never begun
 )
 
 // errUnknownStatement also proves that nothing ran: the host has forgotten the statement.
@@ -378,6 +380,8 @@
 		return rules.ResultMiss
 	case fullErrors[e.Code], e.State == fullState:
 		return rules.ResultFull
+	case strings.HasPrefix(e.State, classRejected):
+		return rules.ResultRejected
 	}
 	return rules.ResultError
 }
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"cranegate/internal/core"
@@ -22,6 +23,8 @@
 	codeBehind      = "72000" // a read that it is too far behind for
 	codeTurnedAway  = "53300"
 	codeNotNow      = "57P03"
+	classRejected   = "42"    // the statement itself can't be used, here or elsewhere: it was read and never begun
+	codeProtocol    = "08P01" // likewise
 	mostValue       = pgwire.MaxMessage
 	writeAtMost     = 5 * time.Second
 	probeText       = "SHOW pressure"
@@ -158,6 +161,8 @@
 		o.Result = rules.ResultMiss
 	case r.code == codeTurnedAway, r.code == codeNotNow && a.Request == nil:
 		o.Result = rules.ResultFull
+	case strings.HasPrefix(r.code, classRejected), r.code == codeProtocol:
+		o.Result = rules.ResultRejected
 	case r.code != "":
 		o.Result = rules.ResultError
 	case r.complete && r.rows == 1:
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -26,6 +26,7 @@
 	Error             // run it and answer with an error
 	Reset             // run it and drop the connection
 	Silent            // run it and never answer
+	Reject            // turn it away: it can't be used
 )
 
 // Host is a database host.
@@ -95,7 +96,7 @@
 	defer h.mu.Unlock()
 	if prepare {
 		h.prepares++
-	} else if act != Miss && act != Full {
+	} else if act != Miss && act != Full && act != Reject {
 		h.ran[id]++
 	}
 	return act
@@ -122,7 +123,7 @@
 // value is the answer to a statement with a key.
 func value(key string) string { return "value of " + key }
 
-var sqlErrors = map[Act][2]string{Full: {"53300", "no room"}, Error: {"XX000", "it broke"}}
+var sqlErrors = map[Act][2]string{Full: {"53300", "no room"}, Error: {"XX000", "it broke"}, Reject: {"42601", "no such thing"}}
 
 // ServePostgres talks to one connection until it ends.
 func (h *Host) ServePostgres(raw net.Conn) {
@@ -374,6 +375,8 @@
 		e = mysqlwire.Error{Code: 1290, State: "HY000", Text: "read-only"}
 	case act == Miss:
 		e.State, e.Text = "72000", "too far behind"
+	case act == Reject:
+		e = mysqlwire.Error{Code: 1064, State: "42000", Text: "no such thing"}
 	case act == Full:
 		e = mysqlwire.Error{Code: 1203, State: "42000", Text: "no room"}
 	}
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -177,6 +177,7 @@
 	ResultCancelled
 	ResultMoot
 	ResultMiss
+	ResultRejected // no member can use the statement, and nothing ran
 )
 
 // Report is what a member last said of itself, somewhat old.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -345,7 +345,7 @@
 		if r.cfg.Remembered && a.q.class.Need == NeedWrite && a.q.Session != "" && o.Position > 0 {
 			r.marks.put(a.q.Session, o.Position, sessionsKept)
 		}
-	case ResultMiss, ResultError:
+	case ResultMiss, ResultError, ResultRejected:
 		if r.hear(m); o.Result == ResultError {
 			r.addSample(m, sample{at: r.now, ratio: 1e9})
 		}
@@ -678,6 +678,10 @@
 			q.pause = r.now + pauseFull
 		}
 	case ResultConnectFailed, ResultMoot:
+	case ResultRejected: // the client's fault: no other member would do better
+		r.gw.Fail(q.ID)
+		r.end(q, false)
+		return
 	default:
 		q.ran = true
 	}
