Read host answers strictly, hold spoilt ones against no host, and let connections rest

Checked: a probe printed what could not be read. Lengths over the bound, negative ones and rows shorter than their columns were all found at once. A second probe took the time from an answer to the surplus behind it: 3 us to 107 ms, median 5 ms, a tenth over 45 ms. So a connection that is used again at once may take the surplus for the next answer; until now only the look before each write (link.run, Alive) stood against that.

Causes: servers/postgres Exchange made every spoilt answer a reset, which rules.learn takes for a broken connection: two in a row make the member a suspect and then cold, and the next answer has idle connections shut for 5 s (tightUntil), hence the connects. reply.take accepted messages in any order and number, failed a good answer for a note that it could not read, and waited for whatever length noise claimed. note.go took positions up to 1e12 s, which would have made a member look fresh for ever, and parts of a report whose other parts were noise.

Now: an answer follows its steps, is bounded by kind and ends within 0.4 s of its first byte; MySQL packets come in turn, and rows fit. ResultSpoilt may have run and says only that the host lives. Idle connections rest 0.1 s, the pool opens up to 12 a host for that, and has every host give one up when descriptors run out. Reports are taken whole.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -124,4 +124,5 @@
 	rules.ResultFull: "attempts_turned_away", rules.ResultTimeout: "attempts_timed_out",
 	rules.ResultConnectFailed: "attempts_not_connected", rules.ResultReset: "attempts_reset",
 	rules.ResultCancelled: "attempts_cancelled", rules.ResultMoot: "attempts_never_sent",
-	rules.ResultMiss: "attempts_missed", rules.ResultRejected: "attempts_rejected"}
+	rules.ResultMiss: "attempts_missed", rules.ResultRejected: "attempts_rejected",
+	rules.ResultSpoilt: "attempts_spoilt"}
--- a/internal/mysqlwire/response.go
+++ b/internal/mysqlwire/response.go
@@ -161,20 +161,38 @@
 	}
 	c.String() // the message
 	all := Cursor{B: c.String()}
+	if c.Err != nil {
+		return ok, c.Err
+	}
 	for len(all.B) > 0 {
 		kind, one := all.Byte(), Cursor{B: all.String()}
 		if kind == 0 { // a system variable; other kinds tell nothing that the gateway needs
 			name, value := string(one.String()), string(one.String())
 			ok.Session = append(ok.Session, [2]string{name, value})
 		}
-		if one.Err != nil {
-			return ok, one.Err
+		if one.Err != nil || all.Err != nil { // notes that can't be read are passed over, and the answer is good without
+			ok.Session = nil
+			break
 		}
 	}
-	if all.Err != nil {
-		return ok, all.Err
+	return ok, nil
+}
+
+// RowFits says whether a row's lengths agree with its packet's. Of a binary row, whose values have lengths by their
+// types, it sees the head alone.
+func RowFits(row []byte, columns int, binary bool) bool {
+	if binary {
+		return len(row) >= 1+(columns+9)/8 && row[0] == HeadOK
+	}
+	c := Cursor{B: row}
+	for range columns {
+		if len(c.B) > 0 && c.B[0] == 0xfb { // null
+			c.Byte()
+		} else {
+			c.String()
+		}
 	}
-	return ok, c.Err
+	return c.Err == nil && len(c.B) == 0
 }
 
 // Error is an ERR packet.
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -113,15 +113,18 @@
 		}
 		size := int(int32(binary.BigEndian.Uint32(body)))
 		body = body[4:]
-		if size < 0 {
+		if size == -1 {
 			out = append(out, nil)
 			continue
 		}
-		if size > len(body) {
+		if size < 0 || size > len(body) {
 			return nil, fmt.Errorf("row: %w", ErrMalformed)
 		}
 		out, body = append(out, body[:size]), body[size:]
 	}
+	if len(body) > 0 {
+		return nil, fmt.Errorf("%d bytes after the row: %w", len(body), ErrMalformed)
+	}
 	return out, nil
 }
 
@@ -140,6 +143,9 @@
 		}
 		out, body = append(out, string(name)), rest[18:]
 	}
+	if len(body) > 0 {
+		return nil, fmt.Errorf("%d bytes after the row description: %w", len(body), ErrMalformed)
+	}
 	return out, nil
 }
 
--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -70,6 +70,25 @@
 	w          mysqlwire.Writer
 	statements map[*mysqlwire.Statement]prepared
 	order      []*mysqlwire.Statement // oldest first
+	seq        byte                   // of the answer's next packet
+}
+
+// packet reads an answer's next packet. One out of turn is noise, or of another answer: there is no use in waiting
+// for the length that it claims.
+func (c *Conn) packet() ([]byte, error) {
+	b, err := c.Need(4)
+	if err != nil {
+		return nil, err
+	}
+	if b[3] != c.seq {
+		return nil, fmt.Errorf("packet %d in place of %d: %w", b[3], c.seq, mysqlwire.ErrMalformed)
+	}
+	if c.seq == 1 {
+		c.SetReadDeadline(time.Now().Add(servers.AnswerFor))
+	}
+	c.seq++
+	_, b, err = mysqlwire.ReadPacket(c.Conn)
+	return b, err
 }
 
 // prepared is this connection's own statement.
@@ -180,8 +199,8 @@
 		return core.Outcome{Result: rules.ResultConnectFailed}, false
 	}
 	c.SetReadDeadline(time.Time{})
-	r, e, err := c.result()
-	return c.outcome(a, r, e, err), err == nil && a.Context().Err() == nil
+	r, e, err := c.result(false)
+	return c.outcome(a, r, e, err), err == nil && a.Context().Err() == nil && c.Buffered() == 0
 }
 
 // prepareOnly runs a client's prepare. It is not cut off when it is given up: its answer, if it still comes, is
@@ -246,12 +265,12 @@
 			return core.Outcome{Result: rules.ResultConnectFailed}, false
 		}
 		c.SetReadDeadline(time.Time{})
-		r, e, err := c.result()
+		r, e, err := c.result(true)
 		if e != nil && e.Code == errUnknownStatement && ok {
 			c.forget(command.Statement) // prepared here long ago; the next round prepares it anew
 			continue
 		}
-		return c.outcome(a, r, e, err), err == nil && a.Context().Err() == nil
+		return c.outcome(a, r, e, err), err == nil && a.Context().Err() == nil && c.Buffered() == 0
 	}
 }
 
@@ -269,7 +288,8 @@
 		return nil, err
 	}
 	c.SetReadDeadline(time.Now().Add(within))
-	_, b, err := mysqlwire.ReadPacket(c.Conn)
+	c.seq = 1
+	b, err := c.packet()
 	if err != nil {
 		return nil, err
 	}
@@ -298,7 +318,7 @@
 // definitions reads a number of definitions and copies them: they outlive the buffer.
 func (c *Conn) definitions(n int, left *int) (out [][]byte, err error) {
 	for range n {
-		_, b, err := mysqlwire.ReadPacket(c.Conn)
+		b, err := c.packet()
 		if err != nil {
 			return nil, err
 		}
@@ -308,7 +328,7 @@
 		out = append(out, append([]byte(nil), b...))
 	}
 	if n > 0 && c.caps&mysqlwire.CapDeprecateEOF == 0 {
-		_, b, err := mysqlwire.ReadPacket(c.Conn)
+		b, err := c.packet()
 		if err == nil && !mysqlwire.IsEOF(b, c.caps) {
 			err = mysqlwire.ErrMalformed
 		}
@@ -318,8 +338,9 @@
 }
 
 // result reads what a statement brings: an OK, an error, or rows.
-func (c *Conn) result() (*mysqlwire.Result, *mysqlwire.Error, error) {
-	_, b, err := mysqlwire.ReadPacket(c.Conn)
+func (c *Conn) result(binary bool) (*mysqlwire.Result, *mysqlwire.Error, error) {
+	c.seq = 1
+	b, err := c.packet()
 	if err != nil {
 		return nil, nil, err
 	}
@@ -337,7 +358,7 @@
 	}
 	head := mysqlwire.Cursor{B: b}
 	n := head.Int()
-	if head.Err != nil || n > 4096 {
+	if head.Err != nil || n > 4096 || len(head.B) > 0 {
 		return nil, nil, mysqlwire.ErrMalformed
 	}
 	left := mostRead
@@ -345,7 +366,7 @@
 		return nil, nil, err
 	}
 	for {
-		_, b, err := mysqlwire.ReadPacket(c.Conn)
+		b, err := c.packet()
 		if err != nil {
 			return nil, nil, err
 		}
@@ -365,6 +386,9 @@
 		if left -= len(b); left < 0 {
 			return nil, nil, netbuf.ErrTooLarge
 		}
+		if !mysqlwire.RowFits(b, int(n), binary) {
+			return nil, nil, fmt.Errorf("row: %w", mysqlwire.ErrMalformed)
+		}
 		r.Rows = append(r.Rows, append([]byte(nil), b...))
 	}
 }
@@ -372,6 +396,8 @@
 // result is the table of what comes back. An error proves that nothing ran only where it is listed above.
 func result(e *mysqlwire.Error, err error) rules.Result {
 	switch {
+	case err != nil && servers.Spoilt(err, mysqlwire.ErrMalformed):
+		return rules.ResultSpoilt
 	case err != nil:
 		return rules.ResultReset
 	case e == nil:
--- a/internal/servers/note.go
+++ b/internal/servers/note.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 
 	"cranegate/rules"
 )
@@ -16,7 +17,17 @@
 	Report   rules.Report
 }
 
-// Set takes one value by its name.
+// ahead is how far a position may lie past this clock: commits are rounded up, and nothing else does. One further
+// off is a misprint, and must not make a member look fresh for ever.
+const ahead = time.Second
+
+// position reads a Unix time in milliseconds, and says whether it can be one.
+func position(ms float64) (int64, bool) {
+	most := float64(time.Now().Add(ahead).UnixMilli())
+	return int64(math.Floor(ms + 1e-3)), ms > 0 && ms <= most
+}
+
+// Set takes one value by its name. What can't be read is passed over.
 func (n *Note) Set(name, value string) {
 	switch name {
 	case "replication_role":
@@ -27,51 +38,56 @@
 			n.Role = rules.RoleReplica
 		}
 	case "log_position":
-		if p, err := strconv.ParseInt(value, 10, 64); err == nil {
-			n.Position = p
+		if ms, err := strconv.ParseInt(value, 10, 64); err == nil {
+			if p, ok := position(float64(ms)); ok {
+				n.Position = p
+			}
 		}
 	case "pressure":
-		n.pressure(value)
+		n.report(strings.Split(value, ","))
 	}
 }
 
 // Row takes a probe's row: one column with the whole report, or a column a field.
 func (n *Note) Row(names []string, values [][]byte) {
+	var pairs []string
 	for i, v := range values {
-		if len(v) > 256 {
-			continue
+		if len(v) > mostReport {
+			return
 		}
 		if i < len(names) && !strings.Contains(string(v), "=") {
-			n.field(names[i], string(v))
+			pairs = append(pairs, names[i]+"="+string(v))
 		} else {
-			n.pressure(string(v))
+			pairs = append(pairs, strings.Split(string(v), ",")...)
 		}
 	}
+	n.report(pairs)
 }
 
-// pressure reads a load report: names and values.
-func (n *Note) pressure(text string) {
-	for _, pair := range strings.Split(text, ",") {
-		if name, value, ok := strings.Cut(pair, "="); ok {
-			n.field(strings.TrimSpace(name), value)
-		}
-	}
-}
+const mostReport = 256 // bytes of a load report
 
-// field reads one field of a load report. Positions there are in seconds and are rounded down: a member must
-// not seem further ahead than it is.
-func (n *Note) field(name, value string) {
-	x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-	if err != nil || math.IsNaN(x) || math.Abs(x) > 1e12 {
-		return
-	}
-	switch name {
-	case "x0":
-		n.Report.HasPosition, n.Report.Position = true, int64(math.Floor(x*1000+1e-3))
-	case "x1":
-		n.Report.Role = rules.RoleReplica
-		if x >= 0.5 {
-			n.Report.Role = rules.RolePrimary
+// report takes a load report, whole or not at all: where one field can't be read the others are not to be trusted.
+// Positions there are in seconds and are rounded down: a member must not seem further ahead than it is.
+func (n *Note) report(pairs []string) {
+	r, ok := rules.Report{}, true
+	for _, pair := range pairs {
+		name, value, found := strings.Cut(pair, "=")
+		x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if !found || err != nil || !(x >= 0 && x < 1e12) || len(pair) > mostReport {
+			return
 		}
+		switch strings.TrimSpace(name) {
+		case "x0":
+			r.Position, r.HasPosition = position(x * 1000)
+			ok = ok && r.HasPosition
+		case "x1":
+			if r.Role = rules.RoleReplica; x == 1 {
+				r.Role = rules.RolePrimary
+			}
+			ok = ok && (x == 0 || x == 1)
+		}
+	}
+	if ok {
+		n.Report = r
 	}
 }
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -2,7 +2,9 @@
 package postgres
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -23,9 +25,9 @@
 	codeBehind      = "72000" // a read that it is too far behind for
 	codeTurnedAway  = "53300"
 	codeNotNow      = "57P03"
-	classRejected   = "42"    // the statement itself can't be used, here or elsewhere: it was read and never begun
-	codeProtocol    = "08P01" // likewise
-	mostValue       = pgwire.MaxMessage
+	classRejected   = "42"      // the statement itself can't be used, here or elsewhere: it was read and never begun
+	codeProtocol    = "08P01"   // likewise
+	mostValue       = 128 << 10 // 64 KiB, in hex digits
 	writeAtMost     = 5 * time.Second
 	probeText       = "SHOW pressure"
 	probeUser       = "svc"
@@ -91,23 +93,67 @@
 		return core.Outcome{Result: rules.ResultConnectFailed}, false
 	}
 	r := reply{probe: a.Request == nil}
-	for {
-		kind, body, err := pgwire.ReadMessage(c.Conn)
-		if err != nil {
-			return r.outcome(a), false
+	if _, err := c.Need(1); err != nil {
+		return r.outcome(a), false
+	}
+	c.SetReadDeadline(time.Now().Add(servers.AnswerFor))
+	for r.step != ended {
+		kind, body, err := c.message()
+		if err == nil {
+			err = r.take(kind, body)
 		}
-		if err := r.take(kind, body); err != nil {
+		if err != nil {
+			stop()
+			if r.code != "" { // a fatal error needs no Ready
+				return r.outcome(a), false
+			}
+			if servers.Spoilt(err, pgwire.ErrMalformed) {
+				return core.Outcome{Result: rules.ResultSpoilt}, false
+			}
 			return core.Outcome{Result: rules.ResultReset}, false
 		}
-		if kind == 'Z' {
-			return r.outcome(a), stop() && r.ended()
-		}
 	}
+	return r.outcome(a), stop() && c.Buffered() == 0
 }
 
+// mostOf bounds the messages of an answer by their kinds. Other kinds have no place there, and whatever opens like
+// one is noise: there is no use in waiting for the length that it claims.
+var mostOf = map[byte]int{'T': 4 << 10, 'D': pgwire.MaxMessage, 'C': 256, 'E': 16 << 10, 'N': 16 << 10, 'S': 16 << 10, 'Z': 6}
+
+// message reads one message of an answer.
+func (c *Conn) message() (kind byte, body []byte, err error) {
+	b, err := c.Need(1)
+	if err != nil {
+		return 0, nil, err
+	}
+	most, ok := mostOf[b[0]]
+	if !ok {
+		return 0, nil, fmt.Errorf("message %q: %w", b[0], pgwire.ErrMalformed)
+	}
+	if b, err = c.Need(5); err != nil {
+		return 0, nil, err
+	}
+	if n := binary.BigEndian.Uint32(b[1:]); int64(n) > int64(most) {
+		return 0, nil, fmt.Errorf("message %q of %d bytes: %w", b[0], n, netbuf.ErrTooLarge)
+	}
+	return pgwire.ReadMessage(c.Conn)
+}
+
+// The steps of an answer, in their order: a description, a row, its completion, Ready; or an error and Ready. Notes
+// may stand anywhere between.
+type step int
+
+const (
+	opens     step = iota
+	described      // a row may follow
+	completed      // only Ready may follow
+	ended
+)
+
 // reply gathers what comes back for one statement.
 type reply struct {
 	probe    bool
+	step     step
 	value    []byte // the messages of the answer, copied: they outlive the buffer
 	note     servers.Note
 	rows     int
@@ -116,39 +162,46 @@
 	names    []string
 }
 
-func (r *reply) ended() bool { return r.complete || r.code != "" }
-
-// take reads one message of the answer.
+// take reads one message of the answer, or finds that it has no place there.
 func (r *reply) take(kind byte, body []byte) error {
-	switch kind {
-	case 'T', 'D', 'C':
-		if len(r.value)+len(body) > mostValue {
-			return netbuf.ErrTooLarge
+	switch {
+	case kind == 'N':
+	case kind == 'S': // a note that can't be read is passed over: the answer is good without it
+		if name, value, err := pgwire.Parameter(body); err == nil {
+			r.note.Set(string(name), string(value))
+		}
+	case kind == 'T' && r.step == opens:
+		names, err := pgwire.Names(body)
+		if err != nil || len(names) != 1 && !r.probe {
+			return fmt.Errorf("%d columns: %w", len(names), cmp.Or(err, pgwire.ErrMalformed))
 		}
+		r.names, r.step = names, described
 		r.value = pgwire.AppendRaw(r.value, kind, body)
-		if kind == 'T' {
-			var err error
-			r.names, err = pgwire.Names(body)
-			return err
-		} else if kind == 'D' {
-			r.rows++
-			columns, err := pgwire.Columns(body)
-			if r.probe {
-				r.note.Row(r.names, columns)
-			}
-			return err
+	case kind == 'D' && r.step == described && r.rows == 0:
+		columns, err := pgwire.Columns(body)
+		if err != nil || len(columns) != len(r.names) || !r.probe && (columns[0] == nil || len(columns[0]) > mostValue) {
+			return fmt.Errorf("row: %w", cmp.Or(err, pgwire.ErrMalformed))
 		}
-		r.complete = true
-	case 'E':
-		if r.code = string(pgwire.Field(body, 'C')); r.code == "" {
-			return pgwire.ErrMalformed
+		r.rows++
+		if r.probe {
+			r.note.Row(r.names, columns)
 		}
-	case 'S':
-		name, value, err := pgwire.Parameter(body)
-		if err != nil {
-			return err
+		r.value = pgwire.AppendRaw(r.value, kind, body)
+	case kind == 'C' && r.step < completed:
+		if _, rest, err := pgwire.Text(body); err != nil || len(rest) > 0 {
+			return fmt.Errorf("completion: %w", cmp.Or(err, pgwire.ErrMalformed))
 		}
-		r.note.Set(string(name), string(value))
+		r.complete, r.step = true, completed
+		r.value = pgwire.AppendRaw(r.value, kind, body)
+	case kind == 'E' && r.step < completed:
+		if r.code = string(pgwire.Field(body, 'C')); len(r.code) != 5 {
+			return fmt.Errorf("error: %w", pgwire.ErrMalformed)
+		}
+		r.step = completed
+	case kind == 'Z' && r.step == completed && len(body) == 1:
+		r.step = ended
+	default:
+		return fmt.Errorf("message %q out of place: %w", kind, pgwire.ErrMalformed)
 	}
 	return nil
 }
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -8,11 +8,14 @@
 	"fmt"
 	"log"
 	"net"
+	"os"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"cranegate/internal/core"
+	"cranegate/internal/netbuf"
 	"cranegate/internal/stats"
 	"cranegate/rules"
 )
@@ -36,6 +39,15 @@
 // connection is closed.
 type Starter func(raw net.Conn) (Conn, error)
 
+// AnswerFor is how long an answer may take from its first byte to its last: hosts write answers whole.
+const AnswerFor = 400 * time.Millisecond
+
+// Spoilt tells an answer that can't be read, or does not end, from a connection that broke under it. Malformed is
+// what the protocol's parser says of the first.
+func Spoilt(err, malformed error) bool {
+	return errors.Is(err, malformed) || errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // ErrTurnedAway is what a Starter returns where the host itself turned the connection away.
 var ErrTurnedAway = errors.New("turned away by the database host")
 
@@ -53,9 +65,16 @@
 // mailboxSize bounds what waits for a host's actor.
 const mailboxSize = 1024
 
+const (
+	restFor   = 100 * time.Millisecond // a connection rests after an answer: what does not belong to it may follow
+	mostRests = 12                     // but no more than so many connections to a host are opened for that
+	waitFor   = 10 * time.Millisecond  // an attempt that has waited so long for a new connection takes any
+)
+
 // Pool holds the hosts. It implements core.Servers; the module's actor alone calls those methods.
 type Pool struct {
 	opt   Options
+	mu    sync.Mutex
 	hosts map[string]*host
 	slots chan struct{} // one for each open connection
 	group *errgroup.Group
@@ -79,6 +98,8 @@
 
 // Update takes news of the list: a new address means new connections, and a host that is gone is let go.
 func (p *Pool) Update(l core.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	listed := map[string]bool{}
 	for _, x := range l.Hosts {
 		name := x.Entry.Member
@@ -116,15 +137,35 @@
 	}
 }
 
+// host finds a host that is listed.
+func (p *Pool) host(name string) *host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hosts[name]
+}
+
+// full says whether there is no descriptor left for another connection.
+func (p *Pool) full() bool { return len(p.slots) == cap(p.slots) }
+
+// relieve has each host close the connection that has been idle longest: idle ones to some hosts must not keep
+// requests from others.
+func (p *Pool) relieve() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.hosts {
+		h.tell(relieve{})
+	}
+}
+
 // Start hands an attempt to a host's actor.
 func (p *Pool) Start(a *core.Attempt) bool {
-	h := p.hosts[a.Member]
+	h := p.host(a.Member)
 	return h != nil && h.tell(a)
 }
 
 // CloseIdle shuts idle connections to a host.
 func (p *Pool) CloseIdle(member string) {
-	if h := p.hosts[member]; h != nil {
+	if h := p.host(member); h != nil {
 		h.tell(closeIdle{})
 	}
 }
@@ -138,15 +179,22 @@
 	retire        context.CancelFunc
 
 	idle    []*link // the one used last is at the end
-	waiting []*core.Attempt
+	waiting []waiter
 	links   int // connections open or being opened
 
 	loggedAt time.Time // when a failed connect was logged last
 }
 
+// waiter is an attempt without a connection.
+type waiter struct {
+	*core.Attempt
+	since time.Time
+}
+
 // What a host's mailbox takes, beside attempts.
 type (
 	closeIdle struct{}
+	relieve   struct{}            // another host's connection needs a descriptor
 	opened    struct{ l *link }   // a connection is up
 	notOpened struct{ err error } // or is not
 	freed     struct{ l *link }   // a connection can take another attempt
@@ -193,6 +241,8 @@
 		h.place(m)
 	case closeIdle:
 		h.closeIdle(0)
+	case relieve:
+		h.closeIdle(max(0, len(h.idle)-1))
 	case opened:
 		h.free(m.l)
 	case freed:
@@ -211,14 +261,12 @@
 	}
 }
 
-// place gives an attempt an idle connection, or opens one and lets it wait for whichever is free first.
+// place gives an attempt an idle connection, or opens one and lets it wait for that.
 func (h *host) place(a *core.Attempt) {
 	if !a.Waiting() {
 		return
 	}
-	if n := len(h.idle); n > 0 {
-		l := h.idle[n-1]
-		h.idle = h.idle[:n-1]
+	if l := h.rested(); l != nil {
 		l.give(a)
 		return
 	}
@@ -226,26 +274,47 @@
 		h.fail(a, rules.ResultConnectFailed)
 		return
 	}
-	h.waiting = append(h.waiting, a)
+	h.waiting = append(h.waiting, waiter{a, time.Now()})
 	h.links++
 	h.pool.group.Go(func() error { h.open(); return nil })
 }
 
-// next takes the oldest attempt that still waits.
-func (h *host) next() *core.Attempt {
+// rested takes the idle connection that was used last of those that have rested since, so that the surplus ages;
+// where many are open and none has, the one that rests longest.
+func (h *host) rested() *link {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		if l := h.idle[i]; time.Since(l.freedAt) >= restFor || i == 0 && (h.links >= mostRests || h.pool.full()) {
+			h.idle = append(h.idle[:i:i], h.idle[i+1:]...)
+			return l
+		}
+	}
+	return nil
+}
+
+// next takes the oldest attempt that still waits, if it has done so for a time.
+func (h *host) next(atLeast time.Duration) *core.Attempt {
 	for len(h.waiting) > 0 {
-		a := h.waiting[0]
+		w := h.waiting[0]
+		if w.Waiting() && time.Since(w.since) < atLeast {
+			return nil
+		}
 		h.waiting = h.waiting[1:]
-		if a.Waiting() {
-			return a
+		if w.Waiting() {
+			return w.Attempt
 		}
 	}
 	return nil
 }
 
-// free uses a connection for the oldest waiting attempt, or keeps it idle.
+// free keeps a connection idle, unless an attempt waits: a new one serves that at once, a used one only if it has
+// waited in vain.
 func (h *host) free(l *link) {
-	if a := h.next(); a != nil {
+	wait := waitFor
+	if l.freedAt.IsZero() || h.links >= mostRests || h.pool.full() {
+		wait = 0
+	}
+	l.freedAt = time.Now()
+	if a := h.next(wait); a != nil {
 		l.give(a)
 		return
 	}
@@ -286,7 +355,11 @@
 		h.loggedAt = now
 		log.Printf("event=connect_failed member=%s error=%q", h.name, err)
 	}
-	if a := h.next(); a != nil {
+	if a := h.next(0); a != nil && len(h.idle) > 0 {
+		l := h.idle[0]
+		h.idle = h.idle[1:]
+		l.give(a)
+	} else if a != nil {
 		h.fail(a, result)
 	}
 }
@@ -303,6 +376,9 @@
 func (h *host) open() {
 	ctx, cancel := context.WithTimeout(h.ctx, h.pool.opt.ConnectTimeout)
 	defer cancel()
+	if h.pool.full() {
+		h.pool.relieve()
+	}
 	select {
 	case h.pool.slots <- struct{}{}:
 	case <-ctx.Done():
@@ -343,8 +419,9 @@
 
 // link is one open connection.
 type link struct {
-	conn Conn
-	jobs chan *core.Attempt // holds one; the host gives the next only to an idle link
+	conn    Conn
+	jobs    chan *core.Attempt // holds one; the host gives the next only to an idle link
+	freedAt time.Time          // when it last came free; owned by the host
 }
 
 func (l *link) give(a *core.Attempt) {
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -38,6 +38,8 @@
 	Act func(id, text string, prepare bool) Act
 	// PrepareFor is how long a prepare takes.
 	PrepareFor time.Duration
+	// Spoil makes something else of a request's answer; nil leaves all as they are.
+	Spoil func(id string, answer []byte) Spoilt
 
 	mu       sync.Mutex
 	ran      map[string]int
@@ -46,6 +48,33 @@
 	conns    map[net.Conn]bool
 }
 
+// Spoilt is what a host sends in place of an answer, and what follows it after a while though nothing was asked.
+// Where it is dead nothing more is answered on that connection, which stays open.
+type Spoilt struct {
+	Answer, Surplus []byte
+	After           time.Duration
+	Dead            bool
+}
+
+// send writes an answer as it is to be spoilt. False says that the connection has ended.
+func (h *Host) send(c *netbuf.Conn, id string, answer []byte) bool {
+	x := Spoilt{Answer: answer}
+	if h.Spoil != nil && id != "" {
+		x = h.Spoil(id, answer)
+	}
+	if _, err := c.Write(x.Answer); err != nil {
+		return false
+	}
+	if x.Surplus != nil {
+		time.Sleep(x.After)
+		c.Write(x.Surplus)
+	}
+	if x.Dead {
+		c.Need(c.Buffered() + 1) // until the peer closes
+	}
+	return !x.Dead
+}
+
 // Ran is how often a request has run here.
 func (h *Host) Ran(id string) int { h.mu.Lock(); defer h.mu.Unlock(); return h.ran[id] }
 
@@ -132,11 +161,12 @@
 	if _, _, err := pgwire.ReadStartup(c); err != nil {
 		return
 	}
-	out := pgwire.AppendReady(pgwire.Append(nil, 'R', "\x00\x00\x00\x00"))
+	out, id := pgwire.AppendReady(pgwire.Append(nil, 'R', "\x00\x00\x00\x00")), ""
 	for {
-		if _, err := c.Write(out); err != nil {
+		if !h.send(c, id, out) {
 			return
 		}
+		id = ""
 		kind, body, err := pgwire.ReadMessage(c)
 		if err != nil || kind != 'Q' {
 			return
@@ -152,6 +182,7 @@
 			out = pgwire.AppendReady(pgwire.AppendError(out, "ERROR", "08P01", err.Error(), ""))
 			continue
 		}
+		id = s.ID
 		write := strings.Contains(string(text), "INSERT")
 		switch act := h.decide(s.ID, string(text), false); act {
 		case Reset:
@@ -194,6 +225,7 @@
 	statements map[uint32]*mysqlwire.Statement
 	long       map[uint32]map[int][]byte
 	lastID     uint32
+	asked      string // the id of the request in hand
 }
 
 // ServeMySQL talks to one connection until it ends.
@@ -243,11 +275,10 @@
 	}
 	c.w.OK(mysqlwire.HeadOK, mysqlwire.OK{}, c.caps)
 	for {
-		if len(c.w.B) > 0 {
-			if _, err := c.Write(c.w.B); err != nil {
-				return
-			}
+		if len(c.w.B) > 0 && !c.h.send(c.Conn, c.asked, c.w.B) {
+			return
 		}
+		c.asked = ""
 		seq, b, err := mysqlwire.ReadPacket(c.Conn)
 		if err != nil || len(b) == 0 {
 			return
@@ -349,6 +380,7 @@
 	for _, p := range attributes {
 		s.Set(p.Name, p.Text())
 	}
+	c.asked = s.ID
 	switch act := c.h.decide(s.ID, text, false); act {
 	case Reset:
 		return false
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -177,6 +177,7 @@
 	ResultCancelled
 	ResultMoot
 	ResultMiss
+	ResultSpoilt   // an answer that can't be read: it may have run
 	ResultRejected // no member can use the statement, and nothing ran
 )
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -345,7 +345,7 @@
 		if r.cfg.Remembered && a.q.class.Need == NeedWrite && a.q.Session != "" && o.Position > 0 {
 			r.marks.put(a.q.Session, o.Position, sessionsKept)
 		}
-	case ResultMiss, ResultError, ResultRejected:
+	case ResultMiss, ResultError, ResultRejected, ResultSpoilt: // the last are no sign of load
 		if r.hear(m); o.Result == ResultError {
 			r.addSample(m, sample{at: r.now, ratio: 1e9})
 		}
