Forget requests that end without an attempt, and what waited at replaced hosts

Checked and ruled out: goroutines stay at 140 to 160 and stacks at 1.2 MB; the live heap after a collection grows from 1.8 to 4.9 MB in 50 s, objects from 9 to 42 thousand, so it is no matter of the collector. Not at fault: sessions, ids, counters, the module's members and windows, idle connections.

Cause: internal/core/core.go answer() ended a request without forget(), which only the end of an attempt called; so each request that was refused before its first attempt stayed in the table with its statement, some 25 a second. Core.waiting kept a list for every host id there ever was. Timers held what had long ended until they fell due, with its statement and value: 2.5 s of traffic.

Now: end() forgets what has no attempt out; lists of hosts that are gone are dropped; timers are cancelled.

Test: TestNothingIsKept, and a look at the tables after every play of the core (fails without the change). Conclusion: nothing of a request or a host outlives it.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -30,6 +30,8 @@
 	closed bool // its outcome is settled; owned by the module's actor
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	timeout *timer
 }
 
 // Outcome is how an attempt ended, as the host's connection saw it.
@@ -58,7 +60,7 @@
 func (c *Core) attempt(q *Request, member string, until time.Duration) *Attempt {
 	a := &Attempt{Request: q, Member: member, Until: c.clock.time(until), core: c, sentAt: c.now}
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
-	c.timers.add(until, func() { a.abandon(rules.ResultTimeout) })
+	a.timeout = c.timers.add(until, func() { a.abandon(rules.ResultTimeout) })
 	return a
 }
 
@@ -101,6 +103,7 @@
 	c := a.core
 	a.closed = true
 	a.cancel()
+	a.timeout.cancel()
 	c.ended = append(c.ended, func() {
 		if a.Request == nil {
 			c.router.Probed(c.now, rules.ProbeResult{Member: a.Member, Result: o.Result, Took: c.now - a.sentAt,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,7 @@
 	ended    bool
 	sent     int
 	out      []*Attempt
+	overdue  *timer
 }
 
 // Effect says what a repeat of the request does; known once the request is submitted.
@@ -205,7 +206,7 @@
 	}
 	c.requests[q.id] = q
 	c.opt.Counters.Add("requests", 1)
-	c.timers.add(q.deadline+c.opt.AnswerSlack/2, func() { c.overdue(q) })
+	q.overdue = c.timers.add(q.deadline+c.opt.AnswerSlack/2, func() { c.overdue(q) })
 	c.router.Request(c.now, in)
 }
 
@@ -251,6 +252,7 @@
 		for _, a := range attempts {
 			a.neverBegins(rules.ResultMoot)
 		}
+		delete(c.waiting, member) // its id may never come again
 	}
 	if l.Kind != rules.ListBroken {
 		select {
@@ -275,12 +277,15 @@
 // end marks a request as over. What still waits for a connection on its behalf never begins.
 func (c *Core) end(q *Request) {
 	q.ended = true
+	q.overdue.cancel()
 	for _, a := range q.out {
 		a.neverBegins(rules.ResultMoot)
 	}
+	c.forget(q)
 }
 
-// forget drops a request once it is over with all its attempts.
+// forget drops a request once it is over with all its attempts. It guards against a table that grows by each request
+// that ends without one.
 func (c *Core) forget(q *Request) {
 	if q.ended && len(q.out) == 0 {
 		delete(c.requests, q.id)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -73,6 +73,15 @@
 		mu.Lock()
 		defer mu.Unlock()
 		sent = s.sent
+		kept := 0
+		for _, x := range c.timers {
+			if x.fire != nil {
+				kept++
+			}
+		}
+		if len(c.requests) > 0 || kept > 1 { // the module's own timer
+			t.Errorf("%d requests and %d timers are kept for ever", len(c.requests), kept)
+		}
 	})
 	return answers, sent, took
 }
@@ -119,3 +128,32 @@
 		}
 	}
 }
+
+// TestNothingIsKept guards the tables on days that go on: requests that end without an attempt were once kept for
+// ever, and so was what waited at each host that had been replaced.
+func TestNothingIsKept(t *testing.T) {
+	if answers, sent, _ := play(t, Request{Class: "own", Group: 9}, serve); len(answers) != 1 || len(sent) > 0 {
+		t.Errorf("a group without members: %+v from %v", answers, sent)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c, err := New(Options{Rules: rules.Config{Gateways: 1, MaxAttempts: 6, MayProbe: true, Classes: []rules.Class{
+			{Name: "any", Aim: 500 * time.Millisecond, Deadline: time.Second, Worth: 1}}}, ProbeTimeout: 250 * time.Millisecond},
+			&fakeServers{take: serve})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go c.Run(ctx)
+		for i := range 50 { // hosts are replaced one after the other, under new ids
+			c.Members(List{Kind: rules.ListWhole, Hosts: []Host{{Entry: rules.Entry{Member: fmt.Sprint("db-", i), Size: 1}}}})
+			time.Sleep(time.Second)
+			c.Submit(&Request{Class: "any", Arrived: time.Now(), Reply: func(Answer) {}})
+			time.Sleep(time.Second)
+		}
+		cancel()
+		synctest.Wait()
+		if len(c.requests) > 0 || len(c.waiting) > 1 {
+			t.Errorf("%d requests and the attempts of %d hosts are kept", len(c.requests), len(c.waiting))
+		}
+	})
+}
