Take broken connections neither for restarts nor for want of connections

Checked: rules.go hear() sets tightUntil (5 s of shutting idle connections after each outcome) wherever a member had any failure before an answer, so a single reset under a request is enough; hosts on sockets reset some at any time. It made a member cold after two failures in a row, however soon it answered, and after any one probe that broke. Ruled out: the pool's own limit on idle connections, and the idle time (0 closed as idle before).

Now: only a connect that failed tells of want of connections. A member heard within the last second has not started anew, and a probe that breaks after it was written is no sign that nobody listens; refused ones still are.

Tests: TestBrokenConnectionsAreNoRestart; TestTwoFailedConnects... now lets a second pass first.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,6 +24,7 @@
 	silenceLimit = 5.0                    // times usual without any answer: a live member's chance is e^-5
 	sureCores    = 2                      // attempts that any member works on at once; the rest may be queued
 	failuresMax  = 2                      // failures in a row: one broken connection says little
+	awayAtLeast  = time.Second            // no process that was heard since has died and started again
 	trialGap     = time.Second            // one trial read a suspect member: bounds what a hang can eat
 	laggard      = 300                    // ms behind that neither shipping nor old reports explain
 	hedgeAfter   = 3.0                    // times usual before a second copy: about the slowest twentieth
@@ -73,7 +74,7 @@
 	position                         int64         // highest told, in ms, at posAt
 	role                             Role
 	roleDate                         int64   // position at which the role was told: claims are ordered by it
-	failed                           int     // connects and connections broken since it was last heard
+	failed, shut                     int     // connects and connections broken since it was last heard; connects
 	lost                             float64 // longest silence on attempts that have ended unanswered
 	window                           []sample
 	out                              []*attempt // in order of sends
@@ -272,7 +273,7 @@
 	} else if p.Result == ResultOK {
 		m.failed = 0
 	} else if p.Result == ResultConnectFailed || p.Result == ResultReset {
-		m.failed, m.down = m.failed+1, true
+		m.failed, m.down = m.failed+1, m.down || p.Result == ResultConnectFailed
 	}
 	r.release(m.group, before)
 }
@@ -356,6 +357,9 @@
 		r.addSample(m, sample{at: r.now, ratio: 1e9})
 	case ResultConnectFailed, ResultReset: // no sign of load: must not feed admission
 		m.failed, m.trialAt = m.failed+1, r.now+trialGap/2
+		if o.Result == ResultConnectFailed {
+			m.shut++
+		}
 	}
 }
 
@@ -392,12 +396,13 @@
 // pushing over a member whose restart the list tells late or never.
 func (r *Router) hear(m *member) {
 	kept := m.role == RoleReplica && r.ms(r.now)-m.position < laggard
-	if m.down || m.failed >= failuresMax && !kept && r.now >= r.tightUntil {
+	away := r.now-m.heardAt >= awayAtLeast
+	if away && (m.down || m.failed >= failuresMax && !kept && r.now >= r.tightUntil) {
 		m.startedAt, m.window, m.creditAt = r.now, nil, 0
-	} else if m.failed > 0 && kept {
+	} else if m.shut > 0 && kept {
 		r.tightUntil = r.now + tightFor // it ran all the time, so it was short of connections
 	}
-	m.heardAt, m.failed, m.lost, m.down = r.now, 0, 0, false
+	m.heardAt, m.failed, m.shut, m.lost, m.down = r.now, 0, 0, 0, false
 }
 
 // addSample keeps a round trip as if the member had had none but its sure share of our work.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -961,6 +961,7 @@
 		b := newRig(t, config())
 		b.told("a", 3*time.Second)
 		m := b.r.members["b"]
+		b.pass(awayAtLeast)
 		m.failed = failuresMax
 		b.r.Probed(b.now, ProbeResult{Member: "b", Result: ResultOK,
 			Report: Report{HasPosition: true, Position: b.at(lag), Role: RoleReplica}})
@@ -968,6 +969,33 @@
 	}
 }
 
+// Connections break on days on which no process does: that must neither make a member cold, which holds back its work
+// for many seconds, nor have its idle connections shut.
+func TestBrokenConnectionsAreNoRestart(t *testing.T) {
+	b := newRig(t, config())
+	b.told("a", 10*ms)
+	m := b.r.members["a"]
+	b.pass(300 * ms)
+	b.told("a", 10*ms)
+	for range failuresMax {
+		q := b.ask(onceWrite)
+		b.r.Outcome(b.now, Outcome{Request: q, Member: "a", Result: ResultReset, Took: 5 * ms, Closed: true})
+	}
+	b.want("failures", m.failed, failuresMax)
+	b.pass(200 * ms)
+	b.told("a", 10*ms)
+	b.want("warmth after two breaks and an answer", b.r.warmth(m), 1)
+	b.r.Probed(b.now, ProbeResult{Member: "b", Result: ResultReset})
+	b.pass(2 * time.Second)
+	b.r.Probed(b.now, ProbeResult{Member: "b", Result: ResultOK, Report: Report{HasPosition: true, Position: b.at(10 * ms), Role: RoleReplica}})
+	b.want("warmth after a probe that broke", b.r.warmth(b.r.members["b"]), 1)
+	b.want("short of connections", b.r.now < b.r.tightUntil, false)
+	b.r.members["b"].failed, b.r.members["b"].shut = 1, 1
+	b.pass(10 * ms)
+	b.told("a", 10*ms)
+	b.want("short of connections after a connect that failed", b.r.now < b.r.tightUntil, true)
+}
+
 func TestGatewayThatStoodStillTakesItForNoSilence(t *testing.T) {
 	b := newRig(t, config())
 	b.told("a", 10*ms)
