--- a/rules/rules.go
+++ b/rules/rules.go
@@ -74,7 +74,7 @@
 	position                         int64         // highest told, in ms, at posAt
 	role                             Role
 	roleDate                         int64   // position at which the role was told: claims are ordered by it
-	failed, shut                     int     // connects and connections broken since it was heard; connects alone
+	failed, shut                     int     // connects and connections broken since it was heard; connects
 	lost                             float64 // longest silence on attempts that have ended unanswered
 	window                           []sample
 	out                              []*attempt // in order of sends
