Let clients that ask nothing, and the idle past half of the places, make room sooner

Checked with probes of the room: all 176 places are held, 128 by clients that asked once and are idle, 48 by clients that said who they are and asked nothing; the goroutines wait in Next, the accept loop in Room.enter. After the first repair requests still came at 60 a second in place of 260, one on each new connection: clients count their connections too (a third of 384 descriptors is 128), so with 128 idle ones no client came to ask for a place, and nobody was let go.

Cause: clients/room.go: the 2 s before an idle client gives way bound the places to 64 new ones a second and held the accept loop up for 0.3 s each; only silence before the greeting counted as silent; idle ones were let go for newcomers alone; and enter took an old sign of a freed place for the new one and asked two to leave.

Now: who has asked nothing gives way after 0.1 s, other idle ones after 0.25 s in a full room, and as one comes to rest up to four idle ones past half of the places are let go. A close between requests breaks no rule of the protocol, and the session looks for bytes before it.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -159,7 +159,7 @@
 
 	leaving atomic.Bool // its place is wanted: it ends unless something has come
 	resting time.Time   // since when nothing is open, zero while something is; like silent, owned by the room
-	silent  bool        // and it has not said who it is
+	silent  bool        // and it has asked nothing yet
 }
 
 // Core is the core that the session asks.
--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	silentFor = 100 * time.Millisecond // a client that has not said who it is gives way after this,
-	idleFor   = 2 * time.Second        // and one without an open request after this, the longest idle first
-	roomFor   = 300 * time.Millisecond // a new client waits so long for a place that is about to be free
-	roomLook  = 10 * time.Millisecond  // and so long for the one that was asked to leave, before the next is
-	mostLobby = 8                      // clients that are being turned away at once
+	silentFor   = 100 * time.Millisecond // a client that has asked nothing yet gives way after this,
+	idleFor     = 250 * time.Millisecond // and another without an open request after this, the longest idle first
+	roomFor     = 300 * time.Millisecond // a new client waits so long for a place that is about to be free
+	roomLook    = 10 * time.Millisecond  // and so long for the one that was asked to leave, before the next is
+	mostThinned = 4                      // idle clients that are let go for each that comes to rest
+	mostLobby   = 8                      // clients that are being turned away at once
 )
 
 // Room is the places of all fronts' clients, a descriptor for each. Where none is left, a client that has nothing
@@ -42,6 +43,10 @@
 func (r *Room) enter(x *Session) bool {
 	for until := time.Now().Add(roomFor); ; {
 		now := time.Now()
+		select {
+		case <-r.freed: // of a place that try is about to see
+		default:
+		}
 		entered, due := r.try(x, now)
 		if entered || due.IsZero() || due.After(until) || now.After(until) {
 			return entered
@@ -80,14 +85,40 @@
 		}
 	}
 	if first != nil && !due.After(now) {
-		first.resting = time.Time{} // it is asked once, unless it goes on
-		first.leaving.Store(true)
-		first.Wake()
+		first.ask()
 		due = now
 	}
 	return false, due
 }
 
+// ask has a session end unless something comes. It is asked once, until it goes on.
+func (x *Session) ask() {
+	x.resting = time.Time{}
+	x.leaving.Store(true)
+	x.Wake()
+}
+
+// thin asks clients to leave that have been idle longest, where more than half of the places are held by clients
+// that have asked something and are idle. Clients count their own connections too: who has come to the end of them
+// does not come to us for another, and so would never push an idle one out.
+func (r *Room) thin(now time.Time) {
+	for range mostThinned {
+		idle, first := 0, (*Session)(nil)
+		for s := range r.sessions {
+			if s.resting.IsZero() || s.silent {
+				continue
+			}
+			if idle++; first == nil || s.resting.Before(first.resting) {
+				first = s
+			}
+		}
+		if idle <= r.size/2 || now.Sub(first.resting) < idleFor {
+			return
+		}
+		first.ask()
+	}
+}
+
 // leave gives a session's place back.
 func (r *Room) leave(x *Session) {
 	r.mu.Lock()
@@ -103,7 +134,10 @@
 func (r *Room) rest(x *Session) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x.resting, x.silent = time.Now(), !x.starts.IsZero()
+	x.resting, x.silent = time.Now(), !x.proves.IsZero()
+	if !x.silent {
+		r.thin(x.resting)
+	}
 }
 
 func (r *Room) work(x *Session) {
