Spend probes by the size of the site, and charge cold hosts in the units they earn

The module: charge and limit in work; a request earns probes by 12/members.

Both new tests fail without the change.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,6 +41,7 @@
 	probeSearch  = 100 * time.Millisecond // the same while a group's primary is sought
 	probeShare   = 0.25                   // probes for each request: quiet gateways need not know everyone
 	doubtsMost   = 8                      // probes of doubtful zones at each look
+	probeMembers = 12.0                   // with more, each is met too seldom for a probe to pay: fewer by as much
 	probeBurst   = 30.0                   // and this many saved up, for a start or a search
 	heldAtMost   = 0.5                    // share of its time after which an unsent request is refused
 	shedBelow    = 0.9                    // expected worth under which a growing share is refused,
@@ -218,7 +219,7 @@
 	}
 	r.worth += (c.Worth - r.worth) / askedKept
 	r.weight += (q.usual.Seconds() - r.weight) / askedKept
-	r.requests[in.ID], r.probes = q, min(probeBurst, r.probes+probeShare)
+	r.requests[in.ID], r.probes = q, min(probeBurst, r.probes+probeShare*min(1, probeMembers/float64(1+len(r.sorted))))
 	r.open = append(r.open, q)
 	r.advance(q)
 	r.setTimer()
@@ -690,7 +691,7 @@
 		r.cfg.Guards == GuardNone && q.class.Need != NeedWrite && !r.fresh(q, m):            // stale reads
 		return false
 	}
-	return r.coldRoom(m, *q.usual)
+	return r.coldRoom(m, r.work[q.Class])
 }
 
 // repeatAllowed says whether what may have run allows another attempt.
@@ -713,7 +714,7 @@
 	}
 	q.sent++
 	q.out, m.out = append(q.out, a), append(m.out, a)
-	m.credit -= a.usual.Seconds() // never less than its work, whatever we took that for
+	m.credit -= a.work.Seconds() // as flow counts it, however long queues are
 	r.gw.Send(q.ID, m.id, q.limit)
 	return a
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1124,3 +1124,62 @@
 	b.pass(half + 50*ms)
 	b.want("refusals after a miss", b.refused[w], 0)
 }
+
+func TestQueuesDoNotShrinkTheBudgetOfColdMembers(t *testing.T) {
+	reads := func(usual time.Duration) (cold int) {
+		b := newRig(t, config(), Entry{Member: "a", Group: 1, Leader: true}, Entry{Member: "b", Group: 1},
+			Entry{Member: "c", Group: 1, StartedAt: 99 * time.Second})
+		b.told("a", 10*ms)
+		for range 400 {
+			*b.r.requestUsual(anyRead), b.r.work[anyRead] = usual, ms
+			b.pass(10 * ms)
+			if q := b.ask(anyRead); len(b.to(q)) > 0 {
+				if b.to(q)[0] == "c" {
+					cold++
+				}
+				b.now += ms
+				b.answer(q, ResultOK, RoleReplica, b.at(0))
+			}
+		}
+		return cold
+	}
+	if short, long := reads(ms), reads(8*ms); long < short*3/4 {
+		t.Errorf("a cold member got %d reads where round trips are long, %d where they are short", long, short)
+	}
+}
+
+func TestALargeSiteIsProbedLessForEachRequest(t *testing.T) {
+	share := func(members int) float64 {
+		var entries []Entry
+		for i := range members {
+			entries = append(entries, Entry{Member: fmt.Sprint("m", 10+i), Group: i / 4, Leader: i%4 == 0, Size: 1})
+		}
+		b := newRig(t, config(), entries...)
+		for _, m := range b.r.sorted {
+			m.role = RoleReplica
+			if m.leader {
+				m.role = RolePrimary
+			}
+		}
+		asked := 0
+		for range 40 * 20 {
+			b.pass(50 * ms)
+			q := b.ask(anyRead, func(q *Request) { q.Group = asked % (members / 4) })
+			if asked++; asked == 400 {
+				b.probes = nil // what was saved up for the start is spent
+			}
+			b.answer(q, ResultOK, RoleReplica, b.at(0))
+			for _, m := range b.r.sorted {
+				if m.probing {
+					b.r.Probed(b.now, ProbeResult{Member: m.id, Result: ResultOK,
+						Report: Report{HasPosition: true, Position: b.at(0)}})
+				}
+			}
+		}
+		return float64(len(b.probes)) / float64(asked-400)
+	}
+	few, many := share(8), share(60)
+	if few < 0.1 || many > 0.1 || many == 0 {
+		t.Errorf("%.2f probes a request with 8 members, %.2f with 60", few, many)
+	}
+}
