Pace calls to discovery by the size of the fleet, so that a release does not jam it

Discovery lets a call wait 2 s and turns it away; of 80 watches 32 stood, of the 56 restarted ones none in 10 s. Their lists are old, so 730 of 3,700 attempts in 2 s were refused connections and 47% of requests were refused.

The change: internal/pace spreads the first calls over 60 ms a gateway (5 s at most; a list is there), doubles waits from 25 ms a gateway (0.1 to 2 s) three times, at random, and heeds Retry-After. A single break of a watch is still mended after 100 ms, and a move by SIGHUP is made at once.

Watches of 20 s in place of 3 s: no gain.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -23,6 +23,7 @@
 	"cranegate/internal/core"
 	"cranegate/internal/list"
 	"cranegate/internal/netbuf"
+	"cranegate/internal/pace"
 	"cranegate/internal/servers"
 	myservers "cranegate/internal/servers/mysql"
 	pgservers "cranegate/internal/servers/postgres"
@@ -202,7 +203,7 @@
 	if len(f.known.Targets) > 0 {
 		c.Members(f.known.List(rules.ListStale))
 	}
-	w := list.NewWatcher(f.discovery, f.known.Rev, c.Members, g.counters)
+	w := list.NewWatcher(f.discovery, f.known.Rev, c.Members, pace.New(f.settings.Rules.Gateways, f.seed), g.counters)
 	g.actors.Go(func() error { return w.Run(g.work) })
 	g.lists[f.name] = followed{w, c, f.settings.Rules.Zone}
 	select {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -14,16 +14,16 @@
 
 	"cranegate/internal/core"
 	"cranegate/internal/netbuf"
+	"cranegate/internal/pace"
 	"cranegate/internal/stats"
 	"cranegate/rules"
 )
 
 const (
-	waitFor    = 3 * time.Second         // one watch call; the agent answers sooner when there is news
-	patience   = 1500 * time.Millisecond // past that an answer is overdue; within 2 s it counts as given
-	retryAfter = 100 * time.Millisecond  // after a failed call: under the 200 ms that a watch lives on
-	dialFor    = time.Second
-	mostTold   = 1 << 20
+	waitFor  = 3 * time.Second         // one watch call; the agent answers sooner when there is news
+	patience = 1500 * time.Millisecond // past that an answer is overdue; within 2 s it counts as given
+	dialFor  = time.Second
+	mostTold = 1 << 20
 )
 
 // Snapshot is the list, or changes of it, in discovery's form.
@@ -70,13 +70,22 @@
 	rev      int64
 	tell     func(core.List)
 	counters *stats.Counters
+	pace     *pace.Caller
 	moves    chan string // its mailbox; a newer address takes an older one's place
 }
 
+// turnedAway is an answer that says that discovery has too many calls.
+type turnedAway struct {
+	code  string
+	after time.Duration // the wait that it asks for, 0 for none
+}
+
+func (e turnedAway) Error() string { return fmt.Sprintf("status %q", e.code) }
+
 // NewWatcher makes the actor, which knows the list up to a version; Run starts it. With no address there is nothing
 // to follow until Move names one.
-func NewWatcher(address string, rev int64, tell func(core.List), counters *stats.Counters) *Watcher {
-	return &Watcher{address: address, rev: rev, tell: tell, counters: counters, moves: make(chan string, 1)}
+func NewWatcher(address string, rev int64, tell func(core.List), p *pace.Caller, counters *stats.Counters) *Watcher {
+	return &Watcher{address: address, rev: rev, tell: tell, pace: p, counters: counters, moves: make(chan string, 1)}
 }
 
 // Move has the watch go on at another address at once. What is known of the list stays, and so does its version,
@@ -92,7 +101,19 @@
 // Run follows the list until the context ends. While discovery is silent the old list stays.
 func (w *Watcher) Run(ctx context.Context) error {
 	var logged time.Time
+	wait := time.Duration(0)
+	if w.rev >= 0 { // a list is there
+		wait = w.pace.First()
+	}
 	for ctx.Err() == nil {
+		select {
+		case <-time.After(wait):
+		case address := <-w.moves: // nobody has called there in vain yet
+			w.moved(address)
+		case <-ctx.Done():
+			return nil
+		}
+		wait = 0
 		call, stop := context.WithCancel(ctx)
 		ended := make(chan error, 1)
 		go func() { ended <- w.follow(call, w.address) }()
@@ -101,8 +122,7 @@
 		case address := <-w.moves:
 			stop()
 			<-ended
-			w.address = address
-			log.Printf("event=list_moved address=%s rev=%d", address, w.rev)
+			w.moved(address)
 			continue
 		case err = <-ended:
 			stop()
@@ -115,14 +135,20 @@
 			logged = now
 			log.Printf("event=list_call_failed error=%q", err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryAfter):
-		}
+		var away turnedAway
+		full := errors.As(err, &away)
+		wait = w.pace.Failed(full, away.after)
 	}
 	return nil
 }
 
+// moved goes on at another address, at once.
+func (w *Watcher) moved(address string) {
+	w.address = address
+	w.pace.Answered()
+	log.Printf("event=list_moved address=%s rev=%d", address, w.rev)
+}
+
 // follow makes calls on one connection, each at once after the last answer.
 func (w *Watcher) follow(ctx context.Context, address string) error {
 	if address == "" {
@@ -159,6 +185,7 @@
 			w.counters.Add("list_changes", 1)
 			w.tell(s.List(rules.ListPatch))
 		}
+		w.pace.Answered()
 		w.counters.Add("list_answers", 1)
 		if !again {
 			return errors.New("discovery closed the connection")
@@ -179,7 +206,7 @@
 	version, code, _ := strings.Cut(status, " ")
 	code, _, _ = strings.Cut(code, " ")
 	again = version == "HTTP/1.1"
-	size, chunked := -1, false
+	size, chunked, after := -1, false, 0
 	for {
 		h, err := c.Line()
 		if err != nil {
@@ -197,6 +224,8 @@
 			}
 		case "transfer-encoding":
 			chunked = value == "chunked"
+		case "retry-after": // in seconds; a date is passed over, as our own wait does
+			after, _ = strconv.Atoi(value)
 		case "connection":
 			again = value != "close"
 		}
@@ -212,7 +241,9 @@
 	default:
 		err = errors.New("an answer without a length")
 	}
-	if err == nil && code != "200" {
+	if err == nil && (code == "503" || code == "429") {
+		err = turnedAway{code, time.Duration(min(max(after, 0), 3600)) * time.Second}
+	} else if err == nil && code != "200" {
 		err = fmt.Errorf("status %q", code)
 	}
 	return body, again, err
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -1,6 +1,7 @@
 package list
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -78,6 +79,21 @@
 	}
 }
 
+// TestTurnedAway guards the wait that discovery asks for when it has too many calls.
+func TestTurnedAway(t *testing.T) {
+	for header, want := range map[string]time.Duration{"": 0, "Retry-After: 7\r\n": 7 * time.Second, "Retry-After: -3\r\n": 0,
+		"Retry-After: Tue, 01 Dec 2026 10:00:00 GMT\r\n": 0, "Retry-After: 999999999\r\n": time.Hour} {
+		near, far := net.Pipe()
+		go io.Copy(io.Discard, far)
+		go func() { io.WriteString(far, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"+header+"\r\n") }()
+		var away turnedAway
+		if _, _, err := get(netbuf.New(near, mostTold), "x", "/"); !errors.As(err, &away) || away.after != want {
+			t.Errorf("%q: %v, wait %v", header, err, away.after)
+		}
+		near.Close()
+	}
+}
+
 // TestEntries guards the reading of states: a word that is not known must not be sent anything new.
 func TestEntries(t *testing.T) {
 	l := Snapshot{Targets: []Target{{UID: "a", State: "SERVING", Replication: "primary", BootMS: 1767225600123},
