Make the first call to discovery at once again: what it would have told binds

The change: no wait before the first call; waits after being turned away are 50 ms a gateway (4 s at most), doubled twice.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -101,10 +101,7 @@
 // Run follows the list until the context ends. While discovery is silent the old list stays.
 func (w *Watcher) Run(ctx context.Context) error {
 	var logged time.Time
-	wait := time.Duration(0)
-	if w.rev >= 0 { // a list is there
-		wait = w.pace.First()
-	}
+	wait := time.Duration(0) // what could have been told binds: the first call is made at once
 	for ctx.Err() == nil {
 		select {
 		case <-time.After(wait):
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,8 +1,9 @@
 // Package pace decides when a gateway calls a service that its whole fleet calls. It is free of I/O and clocks.
 //
 // What is harmless for one gateway is not for all at once: a service that turns calls away when it has too many
-// never gets through them while each gateway that was turned away comes again at once. So calls are spread over a
-// time that grows with the fleet, and each that fails waits longer than the last, at random.
+// never gets through them while each gateway that was turned away comes again at once. So one that was turned away
+// waits for a time that grows with the fleet and with its failures, at random. The first call is not held back: what
+// discovery would have told binds a gateway that has not asked.
 package pace
 
 import (
@@ -11,12 +12,10 @@
 )
 
 const (
-	firstEach = 60 * time.Millisecond  // the first calls of a fleet are spread over this for each gateway,
-	firstMost = 5 * time.Second        // and over this at most: a list may be old
 	quickly   = 100 * time.Millisecond // a call that broke is made again after this: a watch lives on for 200 ms
-	failEach  = 25 * time.Millisecond  // the first wait after failures, for each gateway; never under quickly
-	failMost  = 2 * time.Second        // and at most
-	doublings = 3                      // of that wait
+	failEach  = 50 * time.Millisecond  // the first wait after failures, for each gateway; never under quickly
+	failMost  = 4 * time.Second        // and at most
+	doublings = 2                      // of that wait
 	askedMost = 30 * time.Second       // longest wait that the service may ask for
 )
 
@@ -32,14 +31,6 @@
 	return &Caller{fleet: max(1, fleet), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
-// First is the wait before the first call of a gateway that already holds a list.
-func (c *Caller) First() time.Duration {
-	if c.fleet == 1 {
-		return 0
-	}
-	return time.Duration(c.rng.Int64N(int64(min(time.Duration(c.fleet)*firstEach, firstMost))))
-}
-
 // Answered notes a call that was answered.
 func (c *Caller) Answered() { c.failures = 0 }
 
