--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,7 +48,7 @@
 	shedRamp     = 0.3                    // all but a trickle of them when it is lower by this
 	trickle      = 0.05                   // keeps evidence coming while shedding, so that it ends
 	pressedBelow = 0.8                    // expected worth under which work past a tenant's share is refused
-	primaryRoom  = 2                      // attempts for which reads leave room at a primary
+	primaryRoom  = 1                      // attempts for which reads leave room at a primary
 	primarySpare = 0.85                   // chance at the primary below which other reads keep off it
 	usualGain    = 0.03                   // weight of one answer in a class's usual round trip
 	workGain     = 0.25                   // the work of a class is near its shortest round trips,
@@ -580,9 +580,6 @@
 	extra := 0
 	if m == q.group.primary() && !q.atPrimary {
 		extra = primaryRoom
-		if n := len(m.window) - windowLen/4; n < 0 || r.now-m.window[n].at > windowAge {
-			extra *= 3 // most of its load is not ours to see
-		}
 	}
 	aim := r.chance(m, q.aimAt-r.now, *q.usual, extra)
 	return max(aim, q.class.LateWorth*r.chance(m, q.deadline-r.now, *q.usual, extra))
