Give cold replicas beside warm ones the same budget as cold primaries

The change: the exception is removed (5 lines); coldSafety of TipMultiple, 0.85 of the bound at the least capacity that the settings allow, holds for all.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -993,20 +993,17 @@
 		m.credit, m.creditAt = -r.rng.Float64()*work.Seconds(), r.now
 	}
 	known := min(1, max(r.now-r.startAt, r.cfg.TipAfter).Seconds()/flowOver.Seconds()) // a new gateway's flow
-	multiple, warm := r.cfg.TipMultiple*coldSafety, 0.0
+	warm := 0.0
 	for _, x := range r.sorted {
 		if r.warmth(x) >= 1 && !r.suspect(x) {
 			warm++
-			if x.group == m.group && m != m.group.primary() {
-				multiple = min(multiple, 1) // beside warm ones no more than its share of ordinary work
-			}
 		}
 	}
 	if warm == 0 {
 		warm = float64(len(r.sorted))
 	}
 	flow := max(r.flowNow()/known, work.Seconds()/r.cfg.TipAfter.Seconds()) / warm
-	m.credit = min(0, m.credit+multiple*share*flow*(r.now-m.creditAt).Seconds())
+	m.credit = min(0, m.credit+r.cfg.TipMultiple*coldSafety*share*flow*(r.now-m.creditAt).Seconds())
 	m.creditAt = r.now
 	return m.credit >= 0
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1188,3 +1188,23 @@
 		t.Errorf("%.2f probes a request with 8 members, %.2f with 60", few, many)
 	}
 }
+
+func TestColdReplicaBesideWarmOnesTakesWhatItCan(t *testing.T) {
+	b := newRig(t, config(), Entry{Member: "a", Group: 1, Leader: true}, Entry{Member: "b", Group: 1},
+		Entry{Member: "c", Group: 1, StartedAt: 100 * time.Second})
+	b.told("a", 10*ms)
+	m, sent, ordinary := b.r.members["c"], 0.0, 0.0
+	for range 5000 {
+		b.now += ms
+		b.r.wake(b.now)
+		b.r.flow, b.r.flowAt, b.r.startAt = 2, b.now, 0 // warm members answer 1 s of work a second each
+		ordinary += b.r.warmth(m) * 0.001
+		if b.r.coldRoom(m, 5*ms) {
+			m.credit -= 0.005
+			sent += 0.005
+		}
+	}
+	if sent < 1.5*ordinary || sent > b.r.cfg.TipMultiple*ordinary {
+		t.Errorf("%.2f s of work for a cold replica whose part of ordinary work is %.2f", sent, ordinary)
+	}
+}
