Tell hosts that were cut off from those short of connections, and keep listed starts

The change: want of connections is believed only where the host was heard within the last second, and a start that was listed since the last answer stands. Tests for both fail without it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -429,6 +429,7 @@
 	kept := m.role == RoleReplica && r.ms(r.now)-m.position < laggard
 	away := r.now-m.heardAt >= awayAtLeast
 	died := m.down || m.at.Condemned(m.heardAt) // what went with its zone may have started anew
+	listed := m.startedAt > m.heardAt           // and this is the start that the list has told
 	if m.lived(opened) {
 		if died = false; m.awayAt > 0 {
 			m.startedAt, m.awayAt = m.was, 0
@@ -436,9 +437,9 @@
 	} else if away && m.at.Condemned(m.heardAt) {
 		m.was, m.awayAt = m.startedAt, m.heardAt
 	}
-	if away && (died || m.failed >= failuresMax && !kept && r.now >= r.tightUntil) {
+	if away && !listed && (died || m.failed >= failuresMax && !kept && r.now >= r.tightUntil) {
 		m.startedAt, m.window, m.creditAt = r.now, nil, 0
-	} else if m.shut > 0 && kept {
+	} else if m.shut > 0 && kept && !away { // else it may have been cut off
 		r.tightUntil = r.now + tightFor // it ran all the time, so it was short of connections
 	}
 	m.heardAt, m.failed, m.shut, m.lost, m.down = r.now, 0, 0, 0, false
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1208,3 +1208,31 @@
 		t.Errorf("%.2f s of work for a cold replica whose part of ordinary work is %.2f", sent, ordinary)
 	}
 }
+
+func TestTheStartThatTheListToldStands(t *testing.T) {
+	b := newRig(t, config())
+	b.told("a", 10*ms)
+	b.pass(2 * time.Second)
+	started := b.now
+	b.r.Members(b.now, MemberList{Kind: ListPatch, Entries: []Entry{{Member: "b", Group: 1, Size: 1, StartedAt: started}}})
+	for range failuresMax { // it still can't be reached from here
+		b.r.Probed(b.now, ProbeResult{Member: "b", Result: ResultConnectFailed})
+	}
+	b.pass(4 * time.Second)
+	b.r.Probed(b.now, ProbeResult{Member: "b", Result: ResultOK, Report: Report{HasPosition: true, Position: b.at(0)}})
+	b.want("start", b.r.members["b"].startedAt, started)
+}
+
+func TestMembersThatWereCutOffAreNotShortOfConnections(t *testing.T) {
+	b := newRig(t, config())
+	b.told("a", 10*ms)
+	m := b.r.members["b"]
+	back := ProbeResult{Member: "b", Result: ResultOK, Report: Report{HasPosition: true, Role: RoleReplica}}
+	for _, cut := range []time.Duration{100 * ms, 5 * time.Second} {
+		b.r.tightUntil, m.failed, m.shut = 0, 1, 1
+		b.pass(cut)
+		m.position, back.Report.Position = b.at(20*ms), b.at(0)
+		b.r.Probed(b.now, back)
+		b.want(fmt.Sprint("short of connections after ", cut), b.r.tightUntil > 0, cut < awayAtLeast)
+	}
+}
