Let the newest round trips of a member count most in its chance

The change: a round trip weighs 2 when new and falls to 0 at windowAge, so its mean weight stays 1 (one line more).

Checked: the window of 10 s in place of 4 had no effect.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -570,10 +570,11 @@
 // share adds to hits and n what a window says of round trips within a target.
 func (r *Router) share(window []sample, target, hits, n float64) (float64, float64) {
 	for _, s := range window {
-		if late := s.ratio > target; r.now-s.at <= windowAge && late {
-			n++
-		} else if r.now-s.at <= windowAge && !s.censored {
-			hits, n = hits+1, n+1
+		w := 2 * (1 - float64(r.now-s.at)/float64(windowAge)) // the newest say most
+		if late := s.ratio > target; w > 0 && late {
+			n += w
+		} else if w > 0 && !s.censored {
+			hits, n = hits+w, n+w
 		}
 	}
 	return hits, n
