--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,7 +41,7 @@
 	probeSearch  = 100 * time.Millisecond // the same while a group's primary is sought
 	probeShare   = 0.25                   // probes for each request: quiet gateways need not know everyone
 	doubtsMost   = 8                      // probes of doubtful zones at each look
-	probeMembers = 12.0                   // with more, each is met too seldom for a probe to pay: fewer by as much
+	probeMembers = 12.0                   // past this each is met too seldom for as many to pay
 	probeBurst   = 30.0                   // and this many saved up, for a start or a search
 	heldAtMost   = 0.5                    // share of its time after which an unsent request is refused
 	shedBelow    = 0.9                    // expected worth under which a growing share is refused,
@@ -220,7 +220,8 @@
 	}
 	r.worth += (c.Worth - r.worth) / askedKept
 	r.weight += (q.usual.Seconds() - r.weight) / askedKept
-	r.requests[in.ID], r.probes = q, min(probeBurst, r.probes+probeShare*min(1, probeMembers/float64(1+len(r.sorted))))
+	r.requests[in.ID] = q
+	r.probes = min(probeBurst, r.probes+probeShare*min(1, probeMembers/float64(1+len(r.sorted))))
 	r.open = append(r.open, q)
 	r.advance(q)
 	r.setTimer()
@@ -512,10 +513,11 @@
 	return nil
 }
 
-// trial lets one request through to a suspect member now and then, so that it can come back: one that may be repeated, or
-// any where connections fail, as it can not have run then.
+// trial lets one request through to a suspect member now and then, so that it can come back: one that may
+// be repeated, or any where connections fail, as it can't run then.
 func (r *Router) trial(q *request, m *member) bool {
-	if q.class.Effect != Repeatable && m.shut < failuresMax || r.now < m.trialAt || r.now+4**q.usual > q.limit ||
+	if q.class.Effect != Repeatable && m.shut < failuresMax ||
+		r.now < m.trialAt || r.now+4**q.usual > q.limit ||
 		r.cfg.MayProbe && m.at.Condemned(m.seenAt) { // probes cost clients nothing
 		return false
 	}
@@ -948,8 +950,8 @@
 	doubts := 0
 	for i, n := r.probeNext, len(r.sorted); n > 0; i, n = i+1, n-1 {
 		m := r.sorted[i%len(r.sorted)]
-		after, least := probeUnheard, probeBurst/2
-		if p := m.group.primary(); r.suspect(m) || (p == nil || r.suspect(p)) && r.now-m.group.soughtAt < probeUnheard {
+		after, least, p := probeUnheard, probeBurst/2, m.group.primary()
+		if r.suspect(m) || (p == nil || r.suspect(p)) && r.now-m.group.soughtAt < probeUnheard {
 			after, least = max(probeSearch, (r.now-m.heardAt)/8), -probeBurst
 		} else if r.ms(m.posAt)-m.position > laggard {
 			least = 1
