--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -71,8 +71,8 @@
 }
 
 // run serves until stop ends and all that was taken is answered. At each signal of a changed configuration it is
-// read again.
-func run(stop context.Context, p *config.Platform, o *config.Operator, changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) error {
+// read again. The counters are logged every so often; 0: when asked for alone.
+func run(stop context.Context, p *config.Platform, o *config.Operator, counters time.Duration, changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) error {
 	var fleets []fleet
 	var limits config.Limits
 	if p != nil {
@@ -106,7 +106,7 @@
 		lists: map[string]followed{}}
 	g.actors, _ = errgroup.WithContext(work)
 	g.status.Free = g.room.Free
-	g.actors.Go(func() error { g.logOnRequest(); return nil })
+	g.actors.Go(func() error { g.logOnRequest(counters); return nil })
 	defer g.counters.Log("counters")
 	if o != nil {
 		if err := g.checks(o); err != nil {
@@ -247,17 +247,24 @@
 	return nil
 }
 
-// logOnRequest prints the counters at each SIGUSR1.
-func (g *gateway) logOnRequest() {
+// logOnRequest prints the counters at each SIGUSR1, and every so often; 0: never.
+func (g *gateway) logOnRequest(every time.Duration) {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGUSR1)
 	defer signal.Stop(asked)
+	var due <-chan time.Time
+	if every > 0 {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		due = t.C
+	}
 	for {
 		select {
 		case <-asked:
-			g.counters.Log("counters")
+		case <-due:
 		case <-g.work.Done():
 			return
 		}
+		g.counters.Log("counters")
 	}
 }
--- a/cmd/cranegate/main.go
+++ b/cmd/cranegate/main.go
@@ -18,6 +18,7 @@
 func main() {
 	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
 	operator := flag.String("operator", os.Getenv("CRANEGATE_OPERATOR"), "the operator's file; none by default")
+	counters := flag.Duration("counters", 0, "log the counters every so often; 0: at SIGUSR1 and at the end alone")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -26,7 +27,7 @@
 	path := os.Getenv("PROXY_CONFIG")
 	p, o, err := load(path, *operator, config.Load)
 	if err == nil {
-		err = run(ctx, p, o, changed, func() (*config.Platform, *config.Operator, error) {
+		err = run(ctx, p, o, *counters, changed, func() (*config.Platform, *config.Operator, error) {
 			return load(path, *operator, config.Reload)
 		})
 	}
--- a/cmd/cranelab/main.go
+++ b/cmd/cranelab/main.go
@@ -13,6 +13,8 @@
 	"os/signal"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -29,6 +31,7 @@
 	List   listCmd   `cmd:"" help:"List the experiments."`
 	Run    runCmd    `cmd:"" help:"Run an experiment and hold its claims against what happened."`
 	Up     upCmd     `cmd:"" help:"Start a stand-in fleet of three zones with a gateway and both fronts, and show it."`
+	Logs   logsCmd   `cmd:"" help:"Sum the counters in the logs of many gateways, second by second."`
 	Report reportCmd `cmd:"" help:"Write tables and charts of the results in a folder."`
 }
 
@@ -69,7 +72,7 @@
 }
 
 type runCmd struct {
-	Experiment    string  `arg:"" help:"Name of the experiment, or all."`
+	Experiment    string  `arg:"" help:"Name of the experiment, or all: those of 300 gateways are run by name alone."`
 	Seed          uint64  `default:"1" help:"First seed; a day is drawn from its seed alone."`
 	Seeds         int     `default:"20" help:"How many days are played for each load."`
 	Short         bool    `help:"Three days, and the large fleet a fifth as large."`
@@ -79,6 +82,7 @@
 	Driver        string  `enum:"virtual,sockets" default:"virtual" help:"virtual: the decision module in virtual time. sockets: real gateways in real time."`
 	Gateway       string  `type:"existingfile" help:"Program that is held against the one of this build, on sockets; this one without zones by default."`
 	Logs          string  `type:"path" help:"File for what the gateways write, on sockets."`
+	Break         string  `enum:",cold-room,no-drains,old-reads,two-runs" default:"" help:"A defect made on purpose, which the claims should show: cold-room, no-drains, old-reads or two-runs."`
 	DetectOnly    bool    `help:"Find lost zones, but share no reads out by tiers."`
 }
 
@@ -87,7 +91,7 @@
 	if c.Short {
 		c.Seeds = min(c.Seeds, 3)
 	}
-	todo := lab.Experiments
+	todo := slices.DeleteFunc(slices.Clone(lab.Experiments), func(e lab.Experiment) bool { return strings.HasSuffix(e.Name, "-mass") })
 	if c.Experiment != "all" {
 		e, err := lab.Find(c.Experiment)
 		if err != nil {
@@ -95,7 +99,7 @@
 		}
 		todo = []lab.Experiment{*e}
 	}
-	o := lab.Options{Seed: c.Seed, Seeds: c.Seeds, Short: c.Short, Version: version(), Logs: io.Discard,
+	o := lab.Options{Seed: c.Seed, Seeds: c.Seeds, Short: c.Short, Version: version(), Logs: io.Discard, Break: lab.Breaks[c.Break],
 		Zones: zones.Options{Overprovision: c.Overprovision, DetectOnly: c.DetectOnly}}
 	if c.Driver == "sockets" {
 		program, clean, err := gateway()
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -73,6 +73,8 @@
 	returned    bool          // claims the return
 	slow        bool          // claims that no zone is condemned
 	loads       []float64
+	long        bool      // a long day of which nothing may be left
+	fleet       *fleetDay // a day of a whole fleet; nil: of a zone
 }
 
 var threeZones = []string{"muenchen-nord", "nuernberg", "augsburg"}
@@ -106,6 +108,12 @@
 		loads: []float64{0.5, 0.7}, spec: func(bool) Spec {
 			return day(60*sec, Fault{Kind: Crash, Zone: "nuernberg", At: 15 * sec, For: 9 * sec})
 		}},
+	{Name: "zone-return-most", About: "two of each group's three hosts come back at once, cold: the group's work waits for them", zone: "nuernberg", loss: 15, back: 24,
+		loads: []float64{0.5, 0.7}, spec: func(bool) Spec {
+			s := day(40*sec, Fault{Kind: Crash, Zone: "nuernberg", At: 15 * sec, For: 9 * sec})
+			s.Hosts, s.Layout = 9, []string{"muenchen-nord", "nuernberg", "nuernberg", "augsburg", "nuernberg", "nuernberg", "muenchen-nord", "nuernberg", "nuernberg"}
+			return s
+		}},
 	{Name: "zone-primary", About: "the zone that holds a primary falls silent, and discovery with it: the list names the old one throughout",
 		zone: "muenchen-nord", loss: 15, back: 30, detect: 1500 * time.Millisecond, loads: []float64{0.5, 0.7}, spec: func(bool) Spec {
 			return day(40*sec, Fault{Kind: Silent, Zone: "muenchen-nord", At: 15 * sec, For: 15 * sec, Cold: true},
@@ -144,6 +152,7 @@
 	Seeds    int // from Seed on
 	Short    bool
 	Zones    zones.Options // of the arm that is measured; Own is each gateway's
+	Break    Break         // a defect made on purpose, which the claims should show
 	Progress func(done, all int)
 	Version  string
 
@@ -237,7 +246,18 @@
 	if o.Seeds < 1 {
 		return nil, fmt.Errorf("%d seeds are too few", o.Seeds)
 	}
+	switch {
+	case (e.fleet != nil || e.long) && o.Program != "":
+		return nil, fmt.Errorf("%s is played in virtual time alone", e.Name)
+	case e.fleet != nil:
+		return e.runFleet(ctx, o)
+	case e.long:
+		return e.soak(ctx, o)
+	}
 	s := e.spec(o.Short)
+	if s.Break = o.Break; o.Break == OldReads {
+		s.Guards = rules.GuardNone
+	}
 	r := &Result{Experiment: e.Name, About: e.About, Seed: o.Seed, Seeds: o.Seeds, Driver: driver, Version: o.Version,
 		Size:    fmt.Sprintf("%d hosts, %d groups, %d gateways, %.0f requests/s each", s.Hosts, s.Groups, s.Gateways, s.Rate),
 		Machine: fmt.Sprintf("%d cores", runtime.NumCPU()), Figures: map[string]float64{}, Series: map[string][]float64{}}
@@ -332,7 +352,7 @@
 			}
 		}
 		n := float64(len(days))
-		for _, name := range []string{"stale_reads", "second_runs", "without_one_answer", "wrong_answers", "tipped_over", "sends_to_drained"} {
+		for _, name := range ruleNames {
 			r.claim(p+strings.ReplaceAll(name, "_", " "), broken[name], "==", 0)
 		}
 		f := func(name string, v float64) float64 { r.Figures[fmt.Sprintf("%s_%.1f", name, load)] = v; return v }
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -34,6 +34,9 @@
 	Sockets  bool     // gateways are real: see live
 	Layout   []string // the zone of each host; none: in turn
 	Join     func(*rules.Config)
+	Room     int                // connections that a host holds; 0: mostConns
+	KeepAs   int                // the number of gateways by which idle connections are kept; 0: all that there are
+	Break    Break              // what is broken on purpose
 	Skew     map[string]float64 // factor on the rate of gateways of a zone
 }
 
@@ -42,12 +45,16 @@
 
 // The kinds of fault.
 const (
-	Silent FaultKind = iota // packets vanish; nothing is reset
-	Crash                   // processes die: connections are reset, new ones refused
-	Slow                    // hosts work at a quarter of their speed
-	Drain                   // hosts are listed as draining
-	Deaf                    // discovery tells the gateways nothing
-	Retune                  // the tiers of all gateways are replaced, as by SIGHUP
+	Silent  FaultKind = iota // packets vanish; nothing is reset
+	Crash                    // processes die: connections are reset, new ones refused
+	Slow                     // hosts work at a quarter of their speed
+	Drain                    // hosts are listed as draining
+	Deaf                     // discovery tells the gateways nothing
+	Retune                   // the tiers of all gateways are replaced, as by SIGHUP
+	Kill                     // a share of the gateways die at once, and start anew with nothing at the end
+	Restart                  // all gateways are restarted, a tenth at a time: no new clients for 3 s, then a new process
+	Replace                  // a share of the hosts are replaced, one after the other: a new one starts, cold, the old one drains
+	Burst                    // half as much again is asked
 )
 
 // Fault is one thing that goes wrong and ends.
@@ -56,8 +63,9 @@
 	Zone    string // all hosts of a zone; empty: see Host
 	Host    string
 	At, For time.Duration
-	Cold    bool // hosts start anew at the end, cold, their logs where they stood
-	But     int  // this many hosts of the zone are spared
+	Cold    bool    // hosts start anew at the end, cold, their logs where they stood
+	But     int     // this many hosts of the zone are spared
+	Share   float64 // of the hosts, spread over all, where neither a zone nor a host is named; or of the gateways
 	Retune  func(*rules.Router)
 }
 
@@ -137,6 +145,7 @@
 	busy     float64 // part of the time in which a replica applies at load 1
 	between  time.Duration
 	deaf     bool
+	rush     float64 // added to the rate
 	listed   func(*host, rules.Entry)
 	changed  func(*host) // told of a host that has died, started, been cut or restored, or that the list names anew
 }
@@ -219,8 +228,12 @@
 // hit names the hosts that a fault befalls.
 func (f *fleet) hit(x Fault) (out []*host) {
 	spared := x.But
-	for _, h := range f.hosts {
-		if h.id == x.Host || x.Zone != "" && h.zone == x.Zone {
+	for i, h := range f.hosts {
+		if h.removed || i >= f.Hosts {
+			continue
+		}
+		drawn := x.Host == "" && x.Zone == "" && int(float64(i+1)*x.Share) > int(float64(i)*x.Share)
+		if h.id == x.Host || x.Zone != "" && h.zone == x.Zone || drawn {
 			if spared--; spared < 0 {
 				out = append(out, h)
 			}
@@ -245,6 +258,10 @@
 		}
 	}
 	switch x.Kind {
+	case Kill, Restart, Replace:
+		f.renew(x)
+	case Burst:
+		f.rush = 0.5
 	case Deaf:
 		f.deaf = true
 	case Retune:
@@ -269,6 +286,9 @@
 			h.slow = false
 		}
 	}
+	if x.Kind == Burst {
+		f.rush = 0
+	}
 	if x.Kind == Deaf {
 		f.deaf = false
 		for _, h := range f.hosts {
@@ -377,6 +397,7 @@
 	cut      int  // faults that keep packets from it
 	slow     bool
 	draining bool
+	removed  bool // replaced by another
 	fallen   bool // tipped over: it stays down
 	started  time.Duration
 	position time.Duration
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -1,10 +1,13 @@
 package lab
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"cranegate/internal/keep"
 	"cranegate/internal/zones"
 	"cranegate/rules"
 )
@@ -16,6 +19,10 @@
 	number   int
 	zone     string
 	router   *rules.Router
+	cfg      rules.Config
+	keeper   *keep.Keeper
+	down     bool // its process does not run, or takes no more clients
+	life     int  // of its process
 	arrivals *rand.Rand
 	pools    map[*host]*pool
 	hosts    map[string]*host
@@ -28,10 +35,21 @@
 
 // pool is the connections to one host.
 type pool struct {
-	idle []time.Duration // when they came up; the one used last is at the end
-	out  []*attempt      // begun, on open connections
+	idle   []open     // the one used last is at the end
+	out    []*attempt // begun, on open connections
+	asked  keep.Host
+	trimAt time.Duration // the next look at the idle ones
 }
 
+// open is an idle connection.
+type open struct{ up, freed time.Duration }
+
+// noRoom stands for a connection that comes up and is ended with a refusal.
+const noRoom = -1
+
+// idleFor is two thirds of the time after which the hosts close idle connections.
+const idleFor = 20 * time.Second
+
 // ask is what a client wants; its tries are requests of their own.
 type ask struct {
 	class   *class
@@ -63,6 +81,7 @@
 // attempt is one send.
 type attempt struct {
 	g           *gateway
+	process     int // of the gateway
 	q           *request
 	h           *host
 	number      int
@@ -87,6 +106,8 @@
 	if f.Join != nil {
 		f.Join(&cfg)
 	}
+	f.Break.apply(&cfg)
+	g.cfg = cfg
 	for _, h := range f.hosts {
 		g.hosts[h.id], g.pools[h] = h, &pool{}
 	}
@@ -94,24 +115,47 @@
 	if f.Sockets {
 		return g
 	}
+	g.start()
+	return g
+}
+
+// start begins a process of the gateway that knows nothing but the list.
+func (g *gateway) start() {
+	f := g.f
+	size := f.Gateways
+	if f.KeepAs > 0 {
+		size = f.KeepAs
+	}
+	g.keeper = keep.New(size, idleFor, clock(f.now))
 	var err error
-	if g.router, err = rules.New(f.now, cfg, arrivals.Uint64(), g); err != nil {
-		panic(err) // the configuration above is this package's own
+	if g.router, err = rules.New(f.now, g.cfg, g.arrivals.Uint64(), g); err != nil {
+		panic(err) // the configuration is this package's own
 	}
 	l := rules.MemberList{Kind: rules.ListWhole}
 	for _, h := range f.hosts {
-		l.Entries = append(l.Entries, h.entry())
+		if g.hosts[h.id] != nil && !h.removed {
+			l.Entries = append(l.Entries, h.entry())
+			f.judge.told(g, h.entry())
+		}
 	}
 	g.router.Members(f.now, l)
-	return g
 }
 
+// clock is the model's time as the pure parts take it.
+func clock(at time.Duration) time.Time { return time.Unix(0, 0).Add(at) }
+
 // told hands one entry of the list over.
 func (g *gateway) told(e rules.Entry) {
-	g.f.judge.told(g, e)
 	if g.router == nil {
+		if g.f.Sockets {
+			g.f.judge.told(g, e)
+		}
 		return
 	}
+	g.f.judge.told(g, e)
+	if g.f.Break == NoDrains && e.Phase == rules.PhaseDraining {
+		e.Phase = rules.PhaseOn
+	}
 	g.router.Members(g.f.now, rules.MemberList{Kind: rules.ListPatch, Entries: []rules.Entry{e}})
 }
 
@@ -121,7 +165,7 @@
 	if g.closed {
 		return
 	}
-	rate := f.Rate * f.skew(g.zone)
+	rate := f.Rate * f.skew(g.zone) * (1 + f.rush)
 	f.after(time.Duration(r.ExpFloat64()/rate*float64(time.Second)), g.arrive)
 	pick, n := r.Float64(), 0
 	for ; n < len(classes)-1 && pick >= classes[n].part; n++ {
@@ -142,6 +186,14 @@
 func (g *gateway) try(a *ask) {
 	f := g.f
 	a.tries++
+	for range f.gateways {
+		if g.down { // the front takes another: how long it takes to notice is not played
+			g = f.gateways[(g.number+1)%len(f.gateways)]
+		}
+	}
+	if g.down {
+		return
+	}
 	g.lastID++
 	q := &request{ask: a, id: g.lastID, taken: f.now}
 	q.deadline = f.now + time.Duration((0.42+0.58*f.rng.Float64())*float64(a.class.Deadline))
@@ -188,6 +240,12 @@
 		return
 	}
 	f.judge.turnedDown(q, harmless)
+	g.again(q, harmless, comeBack)
+}
+
+// again has the client ask once more, if it may and still wants to.
+func (g *gateway) again(q *request, harmless bool, comeBack time.Duration) {
+	f := g.f
 	if q.settled || q.tries > 3 || !harmless && q.class.Effect == rules.Once {
 		return
 	}
@@ -211,23 +269,36 @@
 // dial comes by a connection: an idle one at once, or a new one if the host can be reached.
 func (g *gateway) dial(h *host, by rules.Conn, then func(opened time.Duration)) {
 	p, f := g.pools[h], g.f
+	g.keeper.Asked(clock(f.now), &p.asked, len(g.hosts))
 	switch n := len(p.idle) - 1; {
 	case n >= 0 && by == rules.ConnOldest:
-		i := slices.Index(p.idle, slices.Min(p.idle))
-		opened := p.idle[i]
+		i := slices.IndexFunc(p.idle, func(c open) bool {
+			return c.up == slices.MinFunc(p.idle, func(a, b open) int { return cmp.Compare(a.up, b.up) }).up
+		})
+		c := p.idle[i]
 		p.idle = slices.Delete(p.idle, i, i+1)
-		then(opened)
+		then(c.up)
 	case n >= 0 && by == rules.ConnAny:
-		opened := p.idle[n]
+		c := p.idle[n]
 		p.idle = p.idle[:n]
-		then(opened)
+		then(c.up)
 	case h.cut > 0:
 		f.after(connectFor, func() { then(0) })
 	default:
 		f.after(3*g.distance(h)+connectCost, func() {
-			if ok := h.ok() && h.conns < mostConns; ok {
+			if room := cmp.Or(f.Room, mostConns); h.ok() && h.conns < room {
 				h.conns++
+				f.judge.connects++
+				f.judge.fullest = max(f.judge.fullest, h.conns)
 				then(f.now)
+			} else if h.ok() {
+				f.judge.noRoom++
+				if g.keeper.NoRoom(clock(f.now)) {
+					for _, x := range f.hosts {
+						g.trim(x)
+					}
+				}
+				then(noRoom)
 			} else if h.cut > 0 {
 				f.after(connectFor, func() { then(0) })
 			} else {
@@ -251,7 +322,7 @@
 
 // attempt makes the next attempt of a request, with the position that its data must have when it is sent now.
 func (g *gateway) attempt(q *request, h *host, until time.Duration) *attempt {
-	a := &attempt{g: g, q: q, h: h, number: q.sent, sentAt: g.f.now, until: until, need: q.token}
+	a := &attempt{g: g, process: g.life, q: q, h: h, number: q.sent, sentAt: g.f.now, until: until, need: q.token}
 	switch q.class.Need {
 	case rules.NeedBounded:
 		a.need = g.f.now - q.class.Bound
@@ -267,14 +338,19 @@
 func (a *attempt) begin(opened time.Duration) {
 	g, h, f := a.g, a.h, a.g.f
 	if a.over {
-		if opened > 0 {
-			g.pools[h].idle = append(g.pools[h].idle, opened)
+		if opened > 0 && a.process == g.life {
+			g.free(h, opened)
+		} else if opened > 0 {
+			h.conns--
 		}
 		return
 	}
 	if a.opened = opened; opened == 0 {
 		a.done(rules.Outcome{Result: rules.ResultConnectFailed}, 0)
 		return
+	} else if opened == noRoom {
+		f.after(2*g.distance(h), func() { a.done(rules.Outcome{Result: rules.ResultFull}, 0) })
+		return
 	}
 	a.begun = true
 	g.pools[h].out = append(g.pools[h].out, a)
@@ -311,7 +387,7 @@
 		if o.Result == rules.ResultTimeout || o.Result == rules.ResultCancelled {
 			a.h.conns--
 		} else if o.Result != rules.ResultReset {
-			p.idle = append(p.idle, a.opened)
+			g.free(a.h, a.opened)
 			o.Opened = a.opened
 		}
 	}
@@ -322,10 +398,43 @@
 			g.answer(q, true, false, 0, a, position)
 		}
 		o.Request, o.Attempt, o.Member, o.Took, o.Closed = q.id, a.number, a.h.id, f.now-a.sentAt, q.ended
-		g.router.Outcome(f.now, o)
+		if a.process == g.life {
+			g.router.Outcome(f.now, o)
+		}
 	})
 }
 
+// free keeps a connection idle, for as long as the fleet's rule says.
+func (g *gateway) free(h *host, up time.Duration) {
+	p := g.pools[h]
+	p.idle = append(p.idle, open{up, g.f.now})
+	g.trim(h)
+}
+
+// trim closes the idle connections to a host whose time is up, and looks again when the next one's will be.
+func (g *gateway) trim(h *host) {
+	p, f := g.pools[h], g.f
+	left := func(i int) time.Duration {
+		return g.keeper.For(clock(f.now), &p.asked, len(p.idle)-1-i) - (f.now - p.idle[i].freed)
+	}
+	for len(p.idle) > 0 && left(0) <= 0 {
+		p.idle = p.idle[1:]
+		h.conns--
+	}
+	next := time.Duration(math.MaxInt64)
+	for i := range p.idle {
+		next = min(next, left(i))
+	}
+	if life, process := h.life, g.life; len(p.idle) > 0 && (p.trimAt <= f.now || f.now+next < p.trimAt) {
+		p.trimAt = f.now + next
+		f.after(next, func() {
+			if h.life == life && g.life == process {
+				g.trim(h)
+			}
+		})
+	}
+}
+
 // broken resets what is open to a host.
 func (g *gateway) broken(h *host) {
 	p := g.pools[h]
@@ -375,10 +484,10 @@
 	h, f := g.hosts[member], g.f
 	at := f.now
 	f.judge.probes++
-	over := false
+	over, process := false, g.life
 	up := time.Duration(0)
 	end := func(r rules.Result, p rules.Report) {
-		if !over {
+		if !over && process == g.life {
 			over = true
 			x := rules.ProbeResult{Member: member, Result: r, Took: f.now - at, Report: p}
 			if r == rules.ResultOK {
@@ -389,19 +498,19 @@
 	}
 	f.after(connectFor, func() { end(rules.ResultTimeout, rules.Report{}) })
 	g.dial(h, by, func(opened time.Duration) {
-		if up = opened; opened == 0 {
+		if up = opened; opened <= 0 {
 			end(rules.ResultConnectFailed, rules.Report{})
 			return
 		}
 		life := h.life
 		f.after(2*g.distance(h)+probeCost, func() {
-			if h.cut > 0 {
+			if h.cut > 0 || process != g.life {
 				return
 			} else if h.life != life || !h.up {
 				end(rules.ResultReset, rules.Report{})
 				return
 			}
-			g.pools[h].idle = append(g.pools[h].idle, opened)
+			g.free(h, opened)
 			x := h.pressure()
 			p := rules.Report{HasPosition: true, Position: x.position.Milliseconds(), Role: rules.RoleReplica}
 			if x.primary {
@@ -414,7 +523,12 @@
 
 // SetTimer asks for a timer event.
 func (g *gateway) SetTimer(after time.Duration, name string) {
-	g.f.after(after, func() { g.router.Timer(g.f.now, name) })
+	process := g.life
+	g.f.after(after, func() {
+		if process == g.life {
+			g.router.Timer(g.f.now, name)
+		}
+	})
 }
 
 // Subscribe and LookUp have nothing to do.
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -19,12 +19,15 @@
 	stale, second, unanswered, extra, tippedOver, drained, wrongAnswer int
 	notes                                                              []string
 
-	asks     []*ask
-	runs     map[*request]int
-	bound    map[*gateway]map[*host]time.Duration // when a gateway was told to send nothing more
-	attempts []tried
-	snaps    []snap
-	probes   int
+	asks             []*ask
+	runs             map[*request]int
+	bound            map[*gateway]map[*host]time.Duration // when a gateway was told to send nothing more
+	attempts         []tried
+	snaps            []snap
+	probes           int
+	fullest          int // connections at one host, at most
+	broken           int // requests that ended with their gateway's process
+	connects, noRoom int // connections that came up and stayed, and that were ended with a refusal
 }
 
 // tried is one attempt, or a first one's place.
@@ -312,6 +315,9 @@
 	return n / max(every, 1), left / max(total, 1)
 }
 
+// ruleNames are the names of the rules, in the order in which they are shown.
+var ruleNames = []string{"stale_reads", "second_runs", "without_one_answer", "wrong_answers", "tipped_over", "sends_to_drained"}
+
 // rules lists what was broken, by name.
 func (j *Judge) rules() map[string]float64 {
 	return map[string]float64{"stale_reads": float64(j.stale), "second_runs": float64(j.second),
