Add membership among gateways as a pure state machine, played in virtual time

Gateways that know each other must fail nobody who lives and is reached, however messages are lost, links cut in one direction or processes stopped, and two sides of a cut must not each use the whole of a cold host's budget.

Nothing runs it yet: no socket, no goroutine, off on the platform.

--- a/cmd/cranelab/main.go
+++ b/cmd/cranelab/main.go
@@ -83,6 +83,7 @@
 	Gateway       string  `type:"existingfile" help:"Program that is held against the one of this build, on sockets; this one without zones by default."`
 	Logs          string  `type:"path" help:"File for what the gateways write, on sockets."`
 	Break         string  `enum:",cold-room,no-drains,old-reads,two-runs" default:"" help:"A defect made on purpose, which the claims should show: cold-room, no-drains, old-reads or two-runs."`
+	Members       []int   `help:"Numbers of members that the days of members are played with; 10, 80, 300 and 1000 by default."`
 	DetectOnly    bool    `help:"Find lost zones, but share no reads out by tiers."`
 }
 
@@ -99,7 +100,7 @@
 		}
 		todo = []lab.Experiment{*e}
 	}
-	o := lab.Options{Seed: c.Seed, Seeds: c.Seeds, Short: c.Short, Version: version(), Logs: io.Discard, Break: lab.Breaks[c.Break],
+	o := lab.Options{Seed: c.Seed, Seeds: c.Seeds, Short: c.Short, Version: version(), Logs: io.Discard, Break: lab.Breaks[c.Break], Members: c.Members,
 		Zones: zones.Options{Overprovision: c.Overprovision, DetectOnly: c.DetectOnly}}
 	if c.Driver == "sockets" {
 		program, clean, err := gateway()
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -73,6 +73,7 @@
 	returned    bool          // claims the return
 	slow        bool          // claims that no zone is condemned
 	loads       []float64
+	members     *memberDay
 	long        bool      // a long day of which nothing may be left
 	fleet       *fleetDay // a day of a whole fleet; nil: of a zone
 }
@@ -153,6 +154,7 @@
 	Short    bool
 	Zones    zones.Options // of the arm that is measured; Own is each gateway's
 	Break    Break         // a defect made on purpose, which the claims should show
+	Members  []int         // sizes of the days of members; none: 10, 80, 300 and 1000
 	Progress func(done, all int)
 	Version  string
 
@@ -247,10 +249,12 @@
 		return nil, fmt.Errorf("%d seeds are too few", o.Seeds)
 	}
 	switch {
-	case (e.fleet != nil || e.long) && o.Program != "":
+	case (e.fleet != nil || e.long || e.members != nil) && o.Program != "":
 		return nil, fmt.Errorf("%s is played in virtual time alone", e.Name)
 	case e.fleet != nil:
 		return e.runFleet(ctx, o)
+	case e.members != nil:
+		return e.runMembers(ctx, o)
 	case e.long:
 		return e.soak(ctx, o)
 	}
--- /dev/null
+++ b/internal/lab/memberdays_test.go
@@ -0,0 +1,39 @@
+package lab
+
+import (
+	"context"
+	"testing"
+)
+
+// TestMemberDays plays the short form of all days of members. Nobody who lives and is reached may be held as failed, and
+// what all use of a budget together is never more than it.
+func TestMemberDays(t *testing.T) {
+	t.Parallel()
+	for _, d := range memberDays {
+		e, err := Find(d.name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := e.Run(context.Background(), Options{Seed: 300, Seeds: 1, Short: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range r.Claims {
+			if !c.Holds {
+				t.Errorf("%s: %s: %.3f, want %s %g %v", d.name, c.Name, c.Figure, c.Relation, c.Bound, r.Notes)
+			}
+		}
+	}
+}
+
+// TestMemberJudgeFinds lets the judge see members that give verdicts on one trial: they fail the living.
+func TestMemberJudgeFinds(t *testing.T) {
+	for _, d := range memberDays {
+		if d.name != "members-pair" {
+			continue
+		}
+		if x := playMembers(d.memberDay, 20, 0.1, true, 1); x.lies == 0 || len(x.notes) == 0 {
+			t.Errorf("%s: no false verdict was found", d.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,365 @@
+package members
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// deviation is one thing that goes otherwise in a run than it would by itself.
+type deviation struct {
+	kind string // "loss", "twice", "late", "pause" or "cut"
+	at   int    // the message's number, or the tick
+	a, b int    // the member that stands still, or the direction of the cut
+	ever int    // ticks that it lasts
+}
+
+// ring is a few members on a network without loss, but for the deviations.
+type ring struct {
+	nodes   []*Node
+	now     time.Duration
+	sent    int
+	waiting []waiting
+	devs    []deviation
+	failed  []string
+	most    float64 // parts of a budget
+}
+
+type waiting struct {
+	at time.Duration
+	m  Message
+}
+
+const (
+	tick   = 100 * time.Millisecond
+	passes = 2 * time.Millisecond
+)
+
+func newRing(t *testing.T, n int, devs ...deviation) *ring {
+	r := &ring{devs: devs}
+	for i := range n {
+		x, err := New(0, Options{Name: fmt.Sprint("g", i), Zone: fmt.Sprint("z", i), Addr: fmt.Sprint("a", i), Join: []string{"a0", "a1"},
+			Gateways: n, Seed: uint64(i + 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.nodes = append(r.nodes, x)
+	}
+	return r
+}
+
+func (r *ring) stopped(i, tickNo int) bool {
+	return slices.ContainsFunc(r.devs, func(d deviation) bool {
+		return d.kind == "pause" && d.a == i && tickNo >= d.at && tickNo < d.at+d.ever
+	})
+}
+
+func (r *ring) collect(tickNo int, from *Node) {
+	out, changes := from.Ready()
+	for _, c := range changes {
+		if c.Row.State == Failed && !c.New {
+			r.failed = append(r.failed, fmt.Sprintf("%s failed %s at %v", from.Self().Name, c.Row.Name, r.now))
+		}
+	}
+	for _, m := range out {
+		r.sent++
+		at, copies := r.now+passes, 1
+		for _, d := range r.devs {
+			switch cut := d.kind == "cut" && tickNo >= d.at && tickNo < d.at+d.ever; {
+			case cut && m.From.Addr == fmt.Sprint("a", d.a) && m.To == fmt.Sprint("a", d.b), d.kind == "loss" && d.at == r.sent:
+				copies = 0
+			case d.kind == "late" && d.at == r.sent:
+				at += 700 * time.Millisecond
+			case d.kind == "twice" && d.at == r.sent:
+				r.waiting = append(r.waiting, waiting{at + 3*time.Second, m})
+			}
+		}
+		if copies > 0 {
+			r.waiting = append(r.waiting, waiting{at, m})
+		}
+	}
+}
+
+// run plays so many ticks. What is sent arrives between them.
+func (r *ring) run(ticks int) {
+	first := int(r.now / tick)
+	for k := first; k < first+ticks; k++ {
+		r.now = time.Duration(k+1) * tick
+		for i, n := range r.nodes {
+			if !r.stopped(i, k) {
+				n.Tick(r.now)
+				r.collect(k, n)
+			}
+		}
+		end := r.now + tick - passes
+		for {
+			i := -1
+			for j, w := range r.waiting {
+				if w.at <= end && (i < 0 || w.at < r.waiting[i].at) {
+					i = j
+				}
+			}
+			if i < 0 {
+				break
+			}
+			w := r.waiting[i]
+			r.waiting = slices.Delete(r.waiting, i, i+1)
+			for to, n := range r.nodes {
+				if n.Self().Addr != w.m.To {
+					continue
+				}
+				if r.stopped(to, k) {
+					w.at = r.now + 2*tick // it waits in the socket
+					r.waiting = append(r.waiting, w)
+					continue
+				}
+				r.now = max(r.now, w.at)
+				n.Step(r.now, w.m)
+				r.collect(k, n)
+			}
+		}
+		parts := 0.0
+		for _, n := range r.nodes {
+			parts += n.Part()
+		}
+		r.most = max(r.most, parts)
+	}
+}
+
+// TestAllSmallRuns plays three members for eight seconds with all combinations of a cut in one direction or a
+// standstill with one message that is lost, comes late or comes twice. Nobody may be failed, the parts of a budget are
+// never more than the budget, and all views are alike in the end.
+func TestAllSmallRuns(t *testing.T) {
+	const warm, length, last = 20, 80, 50
+	plain := newRing(t, 3)
+	plain.run(warm)
+	from := plain.sent
+	plain.run(last - warm)
+	to := plain.sent
+	var large []deviation
+	for a := range 3 {
+		for at := warm; at < last; at += 10 {
+			large = append(large, deviation{kind: "pause", at: at, a: a, ever: 9})
+			for b := range 3 {
+				if a != b {
+					large = append(large, deviation{kind: "cut", at: at, a: a, b: b, ever: length})
+				}
+			}
+		}
+	}
+	runs := 0
+	for _, big := range large {
+		for at := from; at < to; at += 2 {
+			for _, kind := range []string{"loss", "late", "twice"} {
+				r := newRing(t, 3, big, deviation{kind: kind, at: at})
+				r.run(length)
+				runs++
+				if len(r.failed) > 0 || r.most > 1+1e-9 {
+					t.Fatalf("%+v and %s of message %d: %v, parts %.2f", big, kind, at, r.failed, r.most)
+				}
+				for _, n := range r.nodes {
+					if n.there() != 3 {
+						t.Fatalf("%+v and %s of message %d: %s holds %+v", big, kind, at, n.Self().Name, n.Members())
+					}
+				}
+			}
+		}
+	}
+	if t.Logf("%d runs", runs); runs < 2500 {
+		t.Errorf("%d runs are too few", runs)
+	}
+}
+
+// TestLinksAreKnown looks for a cut in one direction in what the members say of it.
+func TestLinksAreKnown(t *testing.T) {
+	r := newRing(t, 4, deviation{kind: "cut", at: 30, a: 1, b: 2, ever: 1000})
+	r.run(100)
+	if got := r.nodes[1].Unreached(); !slices.Equal(got, []Start{r.nodes[2].Self().Start}) {
+		t.Errorf("1 does not reach %v, want 2 alone", got)
+	}
+	if got := r.nodes[0].Unreached(); len(got) > 0 {
+		t.Errorf("0 does not reach %v", got)
+	}
+}
+
+// TestWhoIsCutOffKnows cuts one member off, in each direction alone and in both: it fails nobody.
+func TestWhoIsCutOffKnows(t *testing.T) {
+	for name, c := range map[string]struct{ in, out bool }{"deaf": {in: true}, "dumb": {out: true}, "both": {in: true, out: true}} {
+		var devs []deviation
+		for i := 1; i < 4; i++ {
+			if c.in {
+				devs = append(devs, deviation{kind: "cut", at: 30, a: i, b: 0, ever: 1000})
+			}
+			if c.out {
+				devs = append(devs, deviation{kind: "cut", at: 30, a: 0, b: i, ever: 1000})
+			}
+		}
+		r := newRing(t, 4, devs...)
+		r.run(200)
+		x := r.nodes[0]
+		if x.there() != 4 || c.in && !x.Cut() || !c.in && !x.Unheard() || x.Part() != 0 {
+			t.Errorf("%s: holds %+v, cut %v, unheard %v, part %.2f", name, x.Members(), x.Cut(), x.Unheard(), x.Part())
+		}
+		if r.most > 1+1e-9 {
+			t.Errorf("%s: parts add up to %.2f", name, r.most)
+		}
+	}
+}
+
+// TestStartsOfOneName ends the old start of a member that came back, and names two processes of one name without ending
+// either.
+func TestStartsOfOneName(t *testing.T) {
+	r := newRing(t, 3)
+	r.run(50)
+	old := r.nodes[2].Self().Start
+	again, _ := New(r.now, Options{Name: "g2", Zone: "z2", Addr: "a2", Join: []string{"a0"}, Gateways: 3, Seed: 77})
+	r.nodes[2] = again
+	r.run(30)
+	for _, n := range r.nodes[:2] {
+		if i := slices.IndexFunc(n.Members(), func(x Row) bool { return x.Start == old && x.State < Failed }); i >= 0 || n.there() != 3 {
+			t.Errorf("%s still holds the old start: %+v", n.Self().Name, n.Members())
+		}
+	}
+	twin, _ := New(r.now, Options{Name: "g1", Zone: "z1", Addr: "a9", Join: []string{"a0"}, Gateways: 3, Seed: 78})
+	r.nodes = append(r.nodes, twin)
+	r.failed = nil
+	r.run(200)
+	for _, n := range r.nodes {
+		if !slices.Equal(n.Conflicts(), []string{"g1"}) || n.there() != 4 || len(r.failed) > 0 {
+			t.Errorf("%s: conflicts %v, %d there, %v", n.Self().Name, n.Conflicts(), n.there(), r.failed)
+		}
+	}
+}
+
+// TestReplayIsNoSignOfLife replays what a dead member said.
+func TestReplayIsNoSignOfLife(t *testing.T) {
+	r := newRing(t, 3)
+	r.run(50)
+	r.nodes[2].Drain()
+	r.nodes[2].ping(r.nodes[2].sorted[0])
+	out, _ := r.nodes[2].Ready()
+	said := out[len(out)-1]
+	dead := r.nodes[2].Self().Start
+	r.nodes = r.nodes[:2]
+	r.nodes[0].Step(r.now, said) // it was said in time
+	for range 30 {
+		for _, n := range r.nodes {
+			n.Step(r.now, said)
+		}
+		r.run(5)
+	}
+	for _, n := range r.nodes {
+		if e := n.table[dead]; e == nil || e.State != Failed {
+			t.Errorf("%s holds %+v", n.Self().Name, e)
+		}
+	}
+}
+
+// TestFloodsAreBounded invents members without end: those that live are not displaced.
+func TestFloodsAreBounded(t *testing.T) {
+	n, _ := New(0, Options{Name: "g", Addr: "a", Most: 50, Seed: 1})
+	from := Row{Start: 5, Name: "real", Addr: "r"}
+	for i := range 10000 {
+		from.Beat++
+		n.Step(time.Duration(i)*time.Millisecond, Message{Kind: Ack, From: from, Rows: []Row{{Start: Start(100 + i), Name: "x", Addr: "y", Beat: 1}}})
+		n.Tick(time.Duration(i) * time.Millisecond)
+		n.Ready()
+	}
+	if len(n.sorted) > 50 || n.table[5] == nil || n.table[5].State != Alive || n.Refused() == 0 {
+		t.Errorf("%d members, the real one %+v, %d refused", len(n.sorted), n.table[5], n.Refused())
+	}
+	n.Step(time.Hour, Message{Kind: Ping, Fleet: "another", From: Row{Start: 6, Name: "x", Addr: "y"}})
+	if n.table[6] != nil {
+		t.Error("a member of another fleet was taken in")
+	}
+}
+
+// TestDecodeIsStrict cuts a message at every byte, and flips every bit: what comes back is an error or a message within all
+// bounds.
+func TestDecodeIsStrict(t *testing.T) {
+	m := Message{Kind: Relay, Fleet: "f", From: Row{Start: 1, Name: "a", Zone: "z", Addr: "x:1", Beat: 3}, For: 2, Seq: 9,
+		About: Row{Start: 4, Name: "b", Addr: "y:1", Age: time.Second}, Rows: []Row{{Start: 5, Name: "c", Addr: "z:1", State: Failed}}}
+	b, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(b); err != nil || fmt.Sprint(got) != fmt.Sprint(m) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for i := range b {
+		if _, err := Decode(b[:i]); !errors.Is(err, ErrMalformed) {
+			t.Errorf("cut at %d: %v", i, err)
+		}
+		for bit := range 8 {
+			x := bytes.Clone(b)
+			x[i] ^= 1 << bit
+			Decode(x)
+		}
+	}
+	long := m
+	for range 100 {
+		long.Rows = append(long.Rows, m.Rows[0])
+	}
+	if _, err := Encode(long); err == nil {
+		t.Error("a datagram over the bound is written")
+	}
+}
+
+// FuzzDecode looks for bytes that Decode takes and Encode would not write within its bounds.
+func FuzzDecode(f *testing.F) {
+	b, _ := Encode(Message{Kind: Ping, From: Row{Start: 1, Name: "a", Addr: "b"}, Rows: []Row{{Start: 2, Name: "c", Addr: "d", Age: 5}}})
+	f.Add(b)
+	odd, _ := hex.DecodeString("01a101ff")
+	f.Add(odd)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		n, _ := New(0, Options{Name: "g", Addr: "a", Most: 10, Seed: 1})
+		n.Step(time.Second, m)
+		n.Tick(2 * time.Second)
+		if len(n.sorted) > 10 {
+			t.Errorf("%d members", len(n.sorted))
+		}
+	})
+}
+
+// TestWhoStoodStillAccusesNobody stops a member for 4 s while it tries to reach another, in vain so far: what it missed
+// in the meantime is held against nobody.
+func TestWhoStoodStillAccusesNobody(t *testing.T) {
+	for stop := 30; stop < 50; stop++ {
+		r := newRing(t, 3, deviation{kind: "cut", at: 28, a: 0, b: 1, ever: stop - 28}, deviation{kind: "cut", at: 28, a: 2, b: 1, ever: stop - 28},
+			deviation{kind: "pause", at: stop, a: 0, ever: 40})
+		r.run(150)
+		for _, x := range r.failed {
+			if x[:len("g0 failed")] == "g0 failed" {
+				t.Errorf("stopped at %d: %s", stop, x)
+			}
+		}
+	}
+}
+
+// TestStandstill holds what a member makes of a jump of its own clock: what it was trying counts from now on, and after a
+// long one it uses no part of any budget until the others count it again.
+func TestStandstill(t *testing.T) {
+	r := newRing(t, 4)
+	r.run(100)
+	n := r.nodes[0]
+	e := n.sorted[0]
+	e.suspect = n.newSuspicion(r.now)
+	e.suspect.heard = 5 // others answered before it stopped
+	if n.Tick(r.now + 4*time.Second); e.State != Alive {
+		t.Errorf("after a standstill %s is held as %s", e.Name, e.State)
+	}
+	if n.Part() == 0 {
+		t.Error("a short standstill takes its part away")
+	}
+	if n.Tick(r.now + 12*time.Second); n.Part() != 0 {
+		t.Errorf("after a long standstill it uses %.2f", n.Part())
+	}
+}
