--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -344,22 +344,28 @@
 	}
 }
 
-// TestStandstill holds what a member makes of a jump of its own clock: what it was trying counts from now on, and after a
-// long one it uses no part of any budget until the others count it again.
+// TestStandstill holds what a member makes of a jump of its own clock, with mail that waited for it: what it was trying
+// counts from now on, and after a long one it uses no part of any budget until the others count it again.
 func TestStandstill(t *testing.T) {
-	r := newRing(t, 4)
-	r.run(100)
-	n := r.nodes[0]
-	e := n.sorted[0]
-	e.suspect = n.newSuspicion(r.now)
-	e.suspect.heard = 5 // others answered before it stopped
-	if n.Tick(r.now + 4*time.Second); e.State != Alive {
-		t.Errorf("after a standstill %s is held as %s", e.Name, e.State)
-	}
-	if n.Part() == 0 {
-		t.Error("a short standstill takes its part away")
-	}
-	if n.Tick(r.now + 12*time.Second); n.Part() != 0 {
-		t.Errorf("after a long standstill it uses %.2f", n.Part())
+	for _, long := range []bool{false, true} {
+		r := newRing(t, 4)
+		r.run(100)
+		n, by := r.nodes[0], r.nodes[3]
+		e := n.table[r.nodes[1].Self().Start]
+		e.suspect = n.newSuspicion(r.now)
+		e.suspect.heard = 5 // others answered before it stopped
+		gap := 4 * time.Second
+		if long {
+			gap = 12 * time.Second
+		}
+		by.ping(by.table[n.Self().Start])
+		out, _ := by.Ready()
+		n.Step(r.now+gap, out[len(out)-1])
+		if n.Tick(r.now + gap); e.State != Alive {
+			t.Errorf("after %v %s is held as %s", gap, e.Name, e.State)
+		}
+		if (n.Part() == 0) != long {
+			t.Errorf("after %v it uses %.2f", gap, n.Part())
+		}
 	}
 }
