Let a gateway's part of the room for connections grow with each that found room

Change: the part doubles over 50 new connections that found room, up to four times, and over 150 after a first sign of none; a sign takes all that has grown away at once (internal/keep, Found and NoRoom). A constant cap of one stood in Keeper.now.

--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -10,7 +10,8 @@
 // connection that is kept for T after each of them, at a rate of l a second, stands for 1-exp(-l*T) of the time.
 //
 // What a host has room for nobody says. It shows where a host ends new connections without serving anything there;
-// the part then falls at once, and comes back slowly.
+// the part is then halved at once. Without such signs it grows slowly, past what is counted on at the start, as a
+// kept connection that finds room is one handshake less.
 package keep
 
 import (
@@ -27,7 +28,9 @@
 
 	rateOver  = 10 * time.Second // requests are averaged over this: a quiet gateway has few
 	halvedGap = time.Second      // signs of this time are one: those that come at once have the same cause
-	backOver  = 30 * time.Second // a halved part doubles again over this, without signs
+	growAfter = 50.0             // new connections that found room, after which the part has doubled: a sign in so many is borne
+	backAfter = 150.0            // the same from the first sign on: a host's room hardly ever grows
+	mostPart  = 4.0              // of the part at the start: beyond, nearly all that is kept is used again anyway
 	leastPart = 1.0 / 64         // of the part: a host that turns all away is short of more than our connections
 )
 
@@ -38,13 +41,14 @@
 	asked   float64 // attempts that wanted a connection, older ones counting less, as of askedAt
 	askedAt time.Time
 	began   time.Time
-	part    float64 // the share of this gateway's part that it uses, as of partAt
-	partAt  time.Time
+	part    float64 // what it uses, of the part that it has at the start
+	fellAt  time.Time
+	after   float64 // new connections over which the part doubles
 }
 
 // New makes the rule for one of so many gateways. Longest is how long a connection may stand idle at all.
 func New(fleet int, longest time.Duration, now time.Time) *Keeper {
-	return &Keeper{fleet: float64(max(1, fleet)), longest: longest, askedAt: now, began: now, part: 1, partAt: now}
+	return &Keeper{fleet: float64(max(1, fleet)), longest: longest, askedAt: now, began: now, part: 1, fellAt: now, after: growAfter}
 }
 
 // Host is what the rule holds of one host. The zero value is a host that no attempt has gone to.
@@ -67,24 +71,24 @@
 	h.rate = h.asked / (rateOver.Seconds()*(1-fade(now.Sub(k.began))) + 1/mean)
 }
 
+// Found notes that a host had room for a new connection. The part grows by what is seen, not by time: a quiet gateway
+// that sees nothing has no reason to keep more.
+func (k *Keeper) Found() { k.part = min(mostPart, k.part*math.Exp2(1/k.after)) }
+
 // NoRoom notes that a host had no room for a new connection. True says that the part has fallen: idle connections to
 // all hosts are to be looked at again.
 func (k *Keeper) NoRoom(now time.Time) bool {
-	fell := now.Sub(k.partAt) >= halvedGap || k.part == 1
+	fell := now.Sub(k.fellAt) >= halvedGap
 	if fell {
-		k.part, k.partAt = max(leastPart, k.now(now)/2), now
+		// What has grown past the start goes at once: all gateways have grown alike, and each sees few signs.
+		k.part, k.fellAt, k.after = max(leastPart, min(1, k.part)/2), now, backAfter
 	}
 	return fell
 }
 
-// now is the share of the part in use.
-func (k *Keeper) now(now time.Time) float64 {
-	return min(1, k.part*math.Exp2(now.Sub(k.partAt).Seconds()/backOver.Seconds()))
-}
-
 // For is how long a connection to a host may stand idle, of which so many others were used later and are idle too.
 func (k *Keeper) For(now time.Time, h *Host, later int) time.Duration {
-	part := k.now(now) * Room / k.fleet
+	part := k.part * Room / k.fleet
 	switch whole := math.Floor(part); {
 	case later >= Most || float64(later) > whole:
 		return 0
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -289,6 +289,7 @@
 			if room := cmp.Or(f.Room, mostConns); h.ok() && h.conns < room {
 				h.conns++
 				f.judge.connects++
+				g.keeper.Found()
 				f.judge.fullest = max(f.judge.fullest, h.conns)
 				then(f.now)
 			} else if h.ok() {
--- a/internal/servers/keep.go
+++ b/internal/servers/keep.go
@@ -35,6 +35,13 @@
 	return s.keeper.NoRoom(time.Now())
 }
 
+// found notes that a host had room for a new connection.
+func (s *sharedKeeper) found() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Found()
+}
+
 // left is how long a connection that has come free may still stand idle; later is how many of its host's idle ones
 // were used after it.
 func (s *sharedKeeper) left(h *keep.Host, freedAt, now time.Time, later int) time.Duration {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -523,8 +523,8 @@
 		out.Opened = l.openedAt
 		if uses++; uses == 1 && out.Result == rules.ResultFull {
 			unwelcome = time.Now()
-		} else {
-			unwelcome = time.Time{}
+		} else if unwelcome = (time.Time{}); uses == 1 {
+			h.pool.keep.found()
 		}
 		stale.saw(began.Sub(since), out.Result == rules.ResultReset && time.Since(began) < staleAtOnce && a.Context().Err() == nil)
 		if !inStep {
