--- a/internal/lab/memberdays.go
+++ b/internal/lab/memberdays.go
@@ -32,7 +32,9 @@
 	who       func(i, n int) bool
 	to        func(i, n int) bool // cut: messages of who to these are lost, in that direction alone
 	kind      memberKind
-	excused   bool // nobody reaches those whom it befalls, or they stand still for longer than is promised to be borne
+	// excuses says whom a member may hold as failed while it lasts: whom nobody on its side reaches, or who stands still for
+	// longer than is promised to be borne. Nil: nobody. For some seconds after the end all are excused that anybody was.
+	excuses func(by, accused, n int) bool
 }
 
 type memberKind int
@@ -49,12 +51,15 @@
 var (
 	one      = func(k int) func(int, int) bool { return func(i, _ int) bool { return i == k } }
 	others   = func(k int) func(int, int) bool { return func(i, _ int) bool { return i != k } }
-	every    = func(int, int) bool { return true }
 	lower    = func(i, n int) bool { return i < n/2 }
 	upper    = func(i, n int) bool { return i >= n/2 }
 	fourIn10 = func(i, _ int) bool { return i%10 < 4 }
 	sixIn10  = func(i, _ int) bool { return i%10 >= 4 }
-	zone     = func(z int) func(int, int) bool { return func(i, _ int) bool { return i%3 == z } }
+	only     = func(k int) func(int, int, int) bool { return func(by, x, _ int) bool { return x == k && by != k } }
+	across   = func(side func(int, int) bool) func(int, int, int) bool {
+		return func(by, x, n int) bool { return side(by, n) != side(x, n) }
+	}
+	zone = func(z int) func(int, int) bool { return func(i, _ int) bool { return i%3 == z } }
 )
 
 // warmUp is the time in which the members find each other, before anything is judged.
@@ -73,19 +78,19 @@
 			{kind: cutOff, at: 4 * sec, lasts: 10 * sec, who: zone(0), to: zone(1)}}}},
 	{"members-deaf", memberDay{about: "one hears nobody, and later is heard by nobody", losses: []float64{0, 0.3}, length: 30 * sec, heal: 5 * sec,
 		faults: []memberFault{
-			{kind: cutOff, at: 2 * sec, lasts: 8 * sec, who: others(3), to: one(3), excused: true},
-			{kind: cutOff, at: 15 * sec, lasts: 8 * sec, who: one(3), to: others(3), excused: true}}}},
+			{kind: cutOff, at: 2 * sec, lasts: 8 * sec, who: others(3), to: one(3), excuses: only(3)},
+			{kind: cutOff, at: 15 * sec, lasts: 8 * sec, who: one(3), to: others(3), excuses: only(3)}}}},
 	{"members-moving", memberDay{about: "a cut in one direction moves on every 2 s", losses: []float64{0, 0.3}, length: 25 * sec, heal: 5 * sec,
 		faults: moving()}},
 	{"members-halves", memberDay{about: "the fleet is cut in two for 60 s", losses: []float64{0, 0.1}, length: 75 * sec, heal: 10 * sec, faults: []memberFault{
-		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: lower, to: upper, excused: true},
-		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: upper, to: lower, excused: true}}}},
+		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: lower, to: upper, excuses: across(lower)},
+		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: upper, to: lower, excuses: across(lower)}}}},
 	{"members-uneven", memberDay{about: "four in ten are cut off from the others for 60 s", losses: []float64{0, 0.1}, length: 75 * sec, heal: 10 * sec, faults: []memberFault{
-		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: fourIn10, to: sixIn10, excused: true},
-		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: sixIn10, to: fourIn10, excused: true}}}},
+		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: fourIn10, to: sixIn10, excuses: across(fourIn10)},
+		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: sixIn10, to: fourIn10, excuses: across(fourIn10)}}}},
 	{"members-alone", memberDay{about: "one is cut off from all others for 60 s", losses: []float64{0}, length: 75 * sec, heal: 10 * sec, faults: []memberFault{
-		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: one(0), to: others(0), excused: true},
-		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: others(0), to: one(0), excused: true}}}},
+		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: one(0), to: others(0), excuses: only(0)},
+		{kind: cutOff, at: 2 * sec, lasts: 60 * sec, who: others(0), to: one(0), excuses: only(0)}}}},
 	{"members-pause", memberDay{about: "a third stands still for half a second, one for 3 s, all but one for 10 s", losses: []float64{0, 0.1}, length: 40 * sec,
 		heal: 5 * sec, faults: []memberFault{
 			{kind: pause, at: 2 * sec, lasts: 500 * time.Millisecond, who: zone(1)},
@@ -120,7 +125,9 @@
 	procs   []*proc
 	byAddr  map[string]*proc
 	cuts    []memberFault // that hold now
-	lies    int           // live members that were held as failed without an excuse
+	excuses []excuse
+	spoilt  int // messages that could not be written or read
+	lies    int // live members that were held as failed without an excuse
 	notes   []string
 	died    map[members.Start]time.Duration
 	knew    map[members.Start][]time.Duration // after how long, by each
@@ -129,20 +136,34 @@
 	longest int // the longest datagram
 }
 
+// excuse is who may be held as failed by whom, and for how long.
+type excuse struct {
+	pair      func(by, accused, n int) bool
+	until, to time.Duration // the end of the fault, and of its news
+}
+
+// newsTravel is how long after a fault its verdicts may still be on their way.
+const newsTravel = 5 * time.Second
+
+// excused says whether a member may hold another as failed now.
+func (w *world) excused(by, accused int) bool {
+	n := len(w.procs)
+	return slices.ContainsFunc(w.excuses, func(x excuse) bool {
+		return w.now < x.until && x.pair(by, accused, n) || w.now >= x.until && w.now < x.to &&
+			slices.ContainsFunc(w.procs, func(p *proc) bool { return x.pair(p.i, accused, n) })
+	})
+}
+
 // proc is one member's process.
 type proc struct {
-	w           *world
-	i           int
-	addr        string
-	node        *members.Node
-	life        int
-	up          bool
-	stopped     bool
-	stoppedAt   time.Duration
-	excusedTo   time.Duration
-	wasHeldBack time.Duration // the end of its last standstill
-	mail        []members.Message
-	size        int
+	w       *world
+	i       int
+	addr    string
+	node    *members.Node
+	life    int
+	up      bool
+	stopped bool
+	mail    []members.Message
 }
 
 const (
@@ -196,21 +217,17 @@
 		}
 		switch x.kind {
 		case pause:
-			p.stopped, p.stoppedAt = true, w.now
+			p.stopped = true
 		case kill:
 			p.up = false
 			w.died[p.node.Self().Start] = w.now
 		}
-		if x.excused || x.kind == pause && x.lasts > pauseBorne {
-			p.excusedTo = w.now + x.lasts + 5*sec // and until the news of its return is everywhere
-		}
 	}
-	if x.excused && x.kind == cutOff {
-		for _, p := range w.procs {
-			if x.to(p.i, len(w.procs)) {
-				p.excusedTo = w.now + x.lasts + 5*sec
-			}
-		}
+	if x.kind == pause && x.lasts > pauseBorne {
+		x.excuses = func(_, accused, n int) bool { return x.who(accused, n) }
+	}
+	if x.excuses != nil {
+		w.excuses = append(w.excuses, excuse{x.excuses, w.now + x.lasts, w.now + x.lasts + newsTravel})
 	}
 }
 
@@ -224,7 +241,7 @@
 		}
 		switch x.kind {
 		case pause:
-			p.stopped, p.wasHeldBack = false, w.now
+			p.stopped = false
 			mail := p.mail
 			p.mail = nil
 			for _, m := range mail {
@@ -291,7 +308,7 @@
 func (w *world) send(p *proc, m members.Message) {
 	b, err := members.Encode(m)
 	if err != nil {
-		w.lies++
+		w.spoilt++
 		w.note("%d: %v", p.i, err)
 		return
 	}
@@ -312,7 +329,7 @@
 	}
 	got, err := members.Decode(b)
 	if err != nil {
-		w.lies++
+		w.spoilt++
 		w.note("%d: %v", p.i, err)
 		return
 	}
@@ -329,7 +346,7 @@
 		return
 	}
 	for _, x := range w.procs {
-		if x.up && x.node.Self().Start == c.Row.Start && w.now >= x.excusedTo && w.now >= epoch+warmUp {
+		if x.up && x.node.Self().Start == c.Row.Start && !w.excused(p.i, x.i) && w.now >= epoch+warmUp {
 			w.lies++
 			w.note("%d holds %d as failed, by %q (%s)", p.i, x.i, c.By, c.Why)
 		}
@@ -367,6 +384,7 @@
 // memberFigures are those of one day.
 type memberFigures struct {
 	lies, unequal     int
+	spoilt            int
 	parts, partsLeast float64 // of a budget that all may use together, at most and at least
 	detect            float64 // s until 99 of 100 know of a crash
 	bytes, messages   float64 // a second and member, in the last ten seconds
@@ -380,8 +398,10 @@
 	end := epoch + warmUp + d.length
 	x := memberFigures{partsLeast: 1}
 	// What all may use of a budget together is never more than the budget, cut or not.
-	for at := epoch + warmUp; at < end-10*sec; at += sec / 2 {
-		w.run(at)
+	for at := epoch + warmUp; at <= end; at += sec / 2 {
+		if w.run(at); at == end-10*sec {
+			w.bytes, w.sent = 0, 0
+		}
 		parts := 0.0
 		for _, p := range w.procs {
 			if p.up && !p.stopped {
@@ -391,9 +411,7 @@
 		x.parts = max(x.parts, parts)
 		x.partsLeast = min(x.partsLeast, parts)
 	}
-	w.bytes, w.sent = 0, 0
-	w.run(end)
-	x.lies, x.notes, x.longest = w.lies, w.notes, w.longest
+	x.spoilt, x.lies, x.notes, x.longest = w.spoilt, w.lies, w.notes, w.longest
 	x.bytes, x.messages = float64(w.bytes)/10/float64(n), float64(w.sent)/10/float64(n)
 	x.unequal = w.unequal()
 	for s := range w.died {
@@ -445,11 +463,12 @@
 			if err := work.Wait(); err != nil {
 				return nil, err
 			}
-			var lies, plainLies, unequal, longest int
+			var lies, plainLies, unequal, longest, spoilt int
 			parts, partsLeast := 0.0, 1.0
 			var detect, plainDetect, bytes, messages float64
 			for _, x := range days {
 				lies, plainLies, unequal = lies+x[0].lies, plainLies+x[1].lies, unequal+x[0].unequal
+				spoilt += x[0].spoilt
 				parts, partsLeast = max(parts, x[0].parts), min(partsLeast, x[0].partsLeast)
 				detect, plainDetect, longest = max(detect, x[0].detect), max(plainDetect, x[1].detect), max(longest, x[0].longest)
 				bytes, messages = bytes+x[0].bytes/float64(len(days)), messages+x[0].messages/float64(len(days))
@@ -460,7 +479,8 @@
 			r.claim(p+"live members held as failed", float64(lies), "==", 0)
 			r.claim(p+"of a budget that all may use together, at most", parts, "<=", 1+1e-9)
 			r.Figures[key("parts_at_most")], r.Figures[key("parts_at_least")] = parts, partsLeast
-			r.claim(p+"bytes of the longest datagram", float64(longest), "<=", members.MaxDatagram)
+			r.claim(p+"messages that could not be written or read", float64(spoilt), "==", 0)
+			r.Figures[key("longest_datagram")] = float64(longest)
 			r.Figures[key("false_verdicts")], r.Figures[key("bytes_a_second")], r.Figures[key("messages_a_second")] = float64(lies), bytes, messages
 			if n <= 80 {
 				r.Figures[key("false_verdicts_one_trial")] = float64(plainLies)
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -210,6 +211,29 @@
 	}
 }
 
+// TestWhoHearsAgainAccusesNobody cuts a member off for eight seconds, in each direction, in which it tries all others in
+// vain, and then lets one answer reach it.
+func TestWhoHearsAgainAccusesNobody(t *testing.T) {
+	for _, deaf := range []bool{true, false} {
+		var devs []deviation
+		for i := 1; i < 6; i++ {
+			d := deviation{kind: "cut", at: 30, a: i, b: 0, ever: 1000}
+			if !deaf {
+				d.a, d.b = 0, i
+			}
+			devs = append(devs, d)
+		}
+		r := newRing(t, 6, devs...)
+		r.run(110)
+		n, from := r.nodes[0], r.nodes[1].Self()
+		from.Beat++
+		n.Step(r.now+tick/2, Message{Kind: Ack, From: from})
+		if n.Tick(r.now + tick); n.there() != 6 {
+			t.Errorf("deaf %v: it holds %+v", deaf, n.Members())
+		}
+	}
+}
+
 // TestStartsOfOneName ends the old start of a member that came back, and names two processes of one name without ending
 // either.
 func TestStartsOfOneName(t *testing.T) {
@@ -337,7 +361,7 @@
 			deviation{kind: "pause", at: stop, a: 0, ever: 40})
 		r.run(150)
 		for _, x := range r.failed {
-			if x[:len("g0 failed")] == "g0 failed" {
+			if strings.HasPrefix(x, "g0 failed") {
 				t.Errorf("stopped at %d: %s", stop, x)
 			}
 		}
--- a/internal/members/step.go
+++ b/internal/members/step.go
@@ -135,13 +135,18 @@
 			}
 		}
 	}
+	if !n.opt.Plain && (n.Cut() || n.Unheard()) { // it is we: what was tried meanwhile says nothing, also when it is over
+		s.from, s.heard = n.now, 0
+		clear(s.seconds)
+		return
+	}
 	least := tryMost - (tryMost-tryLeast)*time.Duration(min(len(s.seconds), confirmers))/confirmers
 	others := n.there() > 2
 	switch {
 	case n.now-s.from < least:
 	case n.opt.Plain:
 		n.fail(e, s.from, "", "no answer")
-	case n.now < n.holdTo || n.Cut() || n.Unheard():
+	case n.now < n.holdTo:
 	case others && s.heard == 0: // whether it is they or we, we can't tell
 	case !others && n.now-s.from < 2*tryMost:
 	default:
