--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -129,12 +129,33 @@
 	return x
 }
 
+// timeline is virtual time: what is to happen, in order.
+type timeline struct {
+	now   time.Duration
+	queue events
+	seq   int
+}
+
+// after has something happen after a time.
+func (t *timeline) after(d time.Duration, do func()) {
+	t.seq++
+	heap.Push(&t.queue, event{t.now + max(0, d), t.seq, do})
+}
+
+// run lets all happen that is due by a time.
+func (t *timeline) run(until time.Duration) {
+	for len(t.queue) > 0 && t.queue[0].at <= until {
+		e := heap.Pop(&t.queue).(event)
+		t.now = e.at
+		e.do()
+	}
+	t.now = until
+}
+
 // fleet is the running day.
 type fleet struct {
 	Spec
-	now      time.Duration
-	queue    events
-	seq      int
+	timeline
 	rng      *rand.Rand // of what depends on the gateways' acts
 	hosts    []*host
 	groups   []*group
@@ -156,20 +177,6 @@
 	}
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, event{f.now + max(0, d), f.seq, do})
-}
-
-func (f *fleet) run(until time.Duration) {
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
-	}
-	f.now = until
-}
-
 // draw draws a time between two.
 func draw(r *rand.Rand, a, b time.Duration) time.Duration {
 	return a + time.Duration(r.Float64()*float64(b-a))
@@ -177,7 +184,7 @@
 
 // newFleet draws a day.
 func newFleet(s Spec, seed uint64) *fleet {
-	f := &fleet{Spec: s, now: epoch, rng: rand.New(rand.NewPCG(seed, 1))}
+	f := &fleet{Spec: s, timeline: timeline{now: epoch}, rng: rand.New(rand.NewPCG(seed, 1))}
 	d := rand.New(rand.NewPCG(seed, 2)) // what the day is made of
 	f.ship, f.busy, f.between = draw(d, 2*time.Millisecond, 15*time.Millisecond), 0.33+0.18*d.Float64(),
 		draw(d, 420*time.Microsecond, 780*time.Microsecond)
--- a/internal/lab/memberdays.go
+++ b/internal/lab/memberdays.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -116,12 +115,10 @@
 // world is the running day.
 type world struct {
 	memberDay
+	timeline
 	loss    float64
 	plain   bool
-	now     time.Duration
 	rng     *rand.Rand
-	queue   events
-	seq     int
 	procs   []*proc
 	byAddr  map[string]*proc
 	cuts    []memberFault // that hold now
@@ -172,7 +169,7 @@
 )
 
 func newWorld(d memberDay, n int, loss float64, plain bool, seed uint64) *world {
-	w := &world{memberDay: d, loss: loss, plain: plain, now: epoch, rng: rand.New(rand.NewPCG(seed, 5)),
+	w := &world{memberDay: d, loss: loss, plain: plain, timeline: timeline{now: epoch}, rng: rand.New(rand.NewPCG(seed, 5)),
 		byAddr: map[string]*proc{}, died: map[members.Start]time.Duration{}, knew: map[members.Start][]time.Duration{}}
 	for i := range n {
 		p := &proc{w: w, i: i, addr: fmt.Sprintf("127.0.%d.%d:7946", i/250, i%250+1)}
@@ -186,20 +183,6 @@
 	return w
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, do})
-}
-
-func (w *world) run(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = until
-}
-
 func (w *world) note(format string, args ...any) {
 	if len(w.notes) < 10 {
 		w.notes = append(w.notes, fmt.Sprintf("%7.3fs ", (w.now-epoch-warmUp).Seconds())+fmt.Sprintf(format, args...))
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -27,16 +27,15 @@
 // State is what is held of a member.
 type State uint8
 
-// The states, in the order in which they prevail where they are told as of the same beat.
+// The states. A suspicion is none: it is one's own affair, and told to nobody (see Suspects).
 const (
 	Alive State = iota
 	Draining
-	Suspect // we are trying to reach it; it counts as there, and nobody else is told
 	Failed
 	Left // it said so itself: final
 )
 
-var stateNames = [...]string{"alive", "draining", "suspect", "failed", "left"}
+var stateNames = [...]string{"alive", "draining", "failed", "left"}
 
 // String is the state's name.
 func (s State) String() string {
@@ -117,7 +116,7 @@
 	perMessage  = 10                      // rows in a datagram of 1,200 bytes, with names, zones and addresses of 25
 	spreadTimes = 6                       // a row rides on so many messages times log10 of the members (SWIM's lambda)
 	tryEvery    = 100 * time.Millisecond  // a suspect is tried anew after this
-	askOthers   = 200 * time.Millisecond  // without an answer others are asked: over round trips, delays and small stalls
+	errandEvery = 200 * time.Millisecond  // between them: over round trips, delays and small stalls
 	tryLeast    = 1800 * time.Millisecond // a verdict takes so long where three others say that they reach it neither
 	tryMost     = 2800 * time.Millisecond // and so long where nobody says so
 	confirmers  = 3
@@ -140,7 +139,6 @@
 type entry struct {
 	Row                   // Age is unused: heard and since tell it
 	heard   time.Duration // the latest sign of its life, here or elsewhere
-	direct  time.Duration // its latest message to us
 	since   time.Duration // of its state
 	vainly  time.Duration // of one that failed: from when it was tried in vain
 	sends   int           // messages on which its row still rides
--- a/internal/members/step.go
+++ b/internal/members/step.go
@@ -64,7 +64,7 @@
 		if n.now < r.at {
 			kept = append(kept, r)
 		} else if r.pings < errandPings {
-			r.pings, r.at = r.pings+1, n.now+askOthers
+			r.pings, r.at = r.pings+1, n.now+errandEvery
 			n.send(Message{Kind: Ping, To: r.to, For: r.about, Seq: r.seq})
 			kept = append(kept, r)
 		} else if e := n.table[r.about]; e != nil {
@@ -358,9 +358,6 @@
 		return
 	}
 	e.Beat, e.heard = r.Beat, max(e.heard, at)
-	if direct {
-		e.direct = n.now
-	}
 	if e.suspect != nil && (direct || e.heard > e.suspect.from+slack) {
 		e.suspect = nil
 		for _, out := range []map[uint64]Start{n.pings, n.older} {
