Let gateways know each other over sockets, and try that with processes and relays

Change: internal/peers drives members with sealed datagrams and streams; [fleet] and [admin] in the operator's file; cranegate members and check; idle connections and calls to discovery follow the number that is there. Off on the platform. Seen: five processes that start at once used three whole budgets until they met (a node's first settled view was itself alone); messages with names of 64 bytes did not fit a datagram. Both mended where they arose, with tests. Idle connections whose look found the mailbox full stood on; the look comes again.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -10,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,6 +27,7 @@
 	"cranegate/internal/list"
 	"cranegate/internal/netbuf"
 	"cranegate/internal/pace"
+	"cranegate/internal/peers"
 	"cranegate/internal/servers"
 	myservers "cranegate/internal/servers/mysql"
 	pgservers "cranegate/internal/servers/postgres"
@@ -34,6 +38,7 @@
 const (
 	reserve     = 32                      // descriptors for the list, the listeners, turning away and the runtime
 	forChecks   = 32                      // and for the balancers' checks, where there are any
+	forPeers    = 32                      // and for the other gateways
 	mostSockets = 1024                    // no more is used where the platform allows more
 	mostMemory  = 192                     // megabytes, likewise
 	exitAfter   = 3500 * time.Millisecond // after a stop: past every deadline, and before the platform kills
@@ -51,12 +56,15 @@
 	actors   *errgroup.Group     // live as long as work
 	fronts   *errgroup.Group     // end some time after stop
 	lists    map[string]followed // by fleet
+	peers    *peers.Peers        // nil: the other gateways are not known
 }
 
 // followed is what a reload reaches of a fleet.
 type followed struct {
 	watch *list.Watcher
 	core  *core.Core
+	pool  *servers.Pool
+	pace  *pace.Caller
 	zone  string // the gateway's own
 }
 
@@ -100,6 +108,9 @@
 	if o != nil {
 		kept += forChecks
 	}
+	if o != nil && o.Fleet != nil {
+		kept += forPeers
+	}
 	half := max(1, (limits.Sockets-kept)/2)
 	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, room: clients.NewRoom(half),
 		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: max(1, half/max(1, len(fleets))), stop: stop, work: work, fronts: &errgroup.Group{},
@@ -121,12 +132,26 @@
 			return fmt.Errorf("serving %s: %w", f.name, err)
 		}
 	}
+	if o != nil && o.Fleet != nil {
+		if err := g.join(o); err != nil {
+			return err
+		}
+		defer g.peers.Leave()
+	}
+	if o != nil && o.Admin.Listen != "" {
+		if err := g.admin(o.Admin.Listen); err != nil {
+			return err
+		}
+	}
 	g.actors.Go(func() error { g.reloads(changed, reread); return nil })
 	g.status.Set(balancers.Ready)
 	log.Printf("event=serving fronts=%d memory_mb=%d sockets=%d", len(fleets), limits.MemoryMB, limits.Sockets)
 	<-stop.Done()
 	g.status.Set(balancers.Draining)
 	log.Printf("event=stopping")
+	if g.peers != nil {
+		g.peers.Drain()
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- g.fronts.Wait() }()
 	select {
@@ -138,8 +163,56 @@
 	}
 }
 
-// reloads reads the configuration again at each signal. It moves the watches on discovery, and takes the hosts of a
-// fleet that stand in the file itself; all else holds from the start on. A configuration with a fault is logged and
+// join makes this gateway and the others of the fleet known to each other. What each may do follows then from the number
+// that are there.
+func (g *gateway) join(o *config.Operator) error {
+	opt := o.Fleet.Options(o.Seed)
+	opt.Counters = g.counters
+	opt.Counted = func(gateways int, _ float64) {
+		for _, f := range g.lists {
+			f.pool.Gateways(gateways)
+			f.pace.Fleet(gateways)
+		}
+	}
+	p, err := peers.Listen(opt)
+	if err != nil {
+		return err
+	}
+	log.Printf("event=listening front=fleet address=%s name=%s sealed=%t", p.Addr(), o.Fleet.Name, len(o.Fleet.Keys) > 0)
+	g.peers = p
+	g.actors.Go(func() error { return p.Run(g.work) })
+	return nil
+}
+
+// admin starts what the command line asks a running gateway.
+func (g *gateway) admin(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listening for admin: %w", err)
+	}
+	log.Printf("event=listening front=admin address=%s", l.Addr())
+	pages := map[string]func() (string, error){
+		"/counters": func() (string, error) { return strings.ReplaceAll(g.counters.String(), " ", "\n") + "\n", nil },
+		"/members": func() (string, error) {
+			if g.peers == nil {
+				return "", errors.New("this gateway knows no others: its file has no [fleet]")
+			}
+			ctx, cancel := context.WithTimeout(g.work, time.Second)
+			defer cancel()
+			v, err := g.peers.View(ctx)
+			if err != nil {
+				return "", err
+			}
+			text, err := json.Marshal(v)
+			return string(text) + "\n", err
+		},
+	}
+	g.actors.Go(func() error { return balancers.ServeAdmin(g.work, l, pages) })
+	return nil
+}
+
+// reloads reads the configuration again at each signal. It moves the watches on discovery, takes the hosts of a fleet that
+// stand in the file itself, tiers of zones, and addresses and keys of the other gateways; all else holds from the start on. A configuration with a fault is logged and
 // changes nothing.
 func (g *gateway) reloads(changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) {
 	for {
@@ -161,6 +234,11 @@
 				f.core.Tune(*o.Zones.Options(f.zone))
 			}
 		}
+		if g.peers != nil && o != nil && o.Fleet != nil {
+			if err := g.peers.Reload(g.work, o.Fleet.Join, o.Fleet.Keys); err != nil {
+				log.Printf("event=fleet_reload_failed error=%q", err)
+			}
+		}
 		if f, ok := g.lists["postgres"]; ok && p != nil && p.Discovery != "" {
 			f.watch.Move(p.Discovery)
 		}
@@ -202,9 +280,10 @@
 	if len(f.known.Targets) > 0 {
 		c.Members(f.known.List(rules.ListStale))
 	}
-	w := list.NewWatcher(f.discovery, f.known.Rev, c.Members, pace.New(f.settings.Rules.Gateways, f.seed), g.counters)
+	calls := pace.New(f.settings.Rules.Gateways, f.seed)
+	w := list.NewWatcher(f.discovery, f.known.Rev, c.Members, calls, g.counters)
 	g.actors.Go(func() error { return w.Run(g.work) })
-	g.lists[f.name] = followed{w, c, f.settings.Rules.Zone}
+	g.lists[f.name] = followed{w, c, pool, calls, f.settings.Rules.Zone}
 	select {
 	case <-c.Ready():
 	case <-g.stop.Done():
--- a/cmd/cranegate/main.go
+++ b/cmd/cranegate/main.go
@@ -1,40 +1,94 @@
 // Command cranegate is the gateway: it takes requests from clients and sends them on to database hosts, as the
 // decision module says. The platform's configuration is named by PROXY_CONFIG; an operator's file, which sets up
-// the MySQL front and the balancers' checks, by the flag -operator. One of the two is needed.
+// the MySQL front, the balancers' checks and the other gateways, by the flag --operator. One of the two is needed.
+//
+// Without a command it runs. The other commands check an operator's file, and ask a running gateway about its fleet.
 package main
 
 import (
 	"context"
 	"errors"
-	"flag"
+	"fmt"
 	"log"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
 
 	"cranegate/internal/config"
 )
 
+// cli is the command line.
+type cli struct {
+	Run     runCmd     `cmd:"" default:"withargs" help:"Run the gateway; this is what it does without a command."`
+	Members membersCmd `cmd:"" help:"Show what a running gateway holds of the others."`
+	Check   checkCmd   `cmd:"" help:"Read an operator's file, and say what is wrong with it."`
+}
+
 func main() {
 	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
-	operator := flag.String("operator", os.Getenv("CRANEGATE_OPERATOR"), "the operator's file; none by default")
-	counters := flag.Duration("counters", 0, "log the counters every so often; 0: at SIGUSR1 and at the end alone")
-	flag.Parse()
+	if len(os.Args) == 1 { // as the platform starts it, on part of a core: without building a parser
+		runCmd{Operator: os.Getenv("CRANEGATE_OPERATOR")}.Run()
+		return
+	}
+	var c cli
+	// The flags have been written with one dash.
+	for i, a := range os.Args {
+		if i > 0 && (strings.HasPrefix(a, "-operator") || strings.HasPrefix(a, "-counters")) {
+			os.Args[i] = "-" + a
+		}
+	}
+	ctx := kong.Parse(&c, kong.Name("cranegate"), kong.Description("A gateway for queries from many clients to many database hosts."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+type runCmd struct {
+	Operator string        `env:"CRANEGATE_OPERATOR" help:"The operator's file; none by default."`
+	Counters time.Duration `help:"Log the counters every so often; 0: at SIGUSR1 and at the end alone."`
+}
+
+// Run runs the gateway until SIGTERM. A failure is logged as the last line.
+func (r runCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	changed := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
 	signal.Notify(changed, syscall.SIGHUP)
 	path := os.Getenv("PROXY_CONFIG")
-	p, o, err := load(path, *operator, config.Load)
+	p, o, err := load(path, r.Operator, config.Load)
 	if err == nil {
-		err = run(ctx, p, o, *counters, changed, func() (*config.Platform, *config.Operator, error) {
-			return load(path, *operator, config.Reload)
+		err = run(ctx, p, o, r.Counters, changed, func() (*config.Platform, *config.Operator, error) {
+			return load(path, r.Operator, config.Reload)
 		})
 	}
 	if err != nil {
 		log.Printf("event=ended error=%q", err)
 		os.Exit(1)
 	}
+	return nil
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"The operator's file. Settings that it lacks come from the configuration that PROXY_CONFIG names."`
+}
+
+// Run checks a file.
+func (c checkCmd) Run() error {
+	_, o, err := load(os.Getenv("PROXY_CONFIG"), c.File, config.Load)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: in order; mysql %s, zones %s, fleet %s\n", c.File, onOff(o.MySQL != nil), onOff(o.Zones != nil), onOff(o.Fleet != nil))
+	return nil
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
 }
 
 // load reads the configuration; what is not given is nil.
--- a/cmd/cranelab/main.go
+++ b/cmd/cranelab/main.go
@@ -79,7 +79,7 @@
 	Out           string  `help:"Folder for NAME/result.json." type:"path"`
 	JSON          bool    `name:"json" help:"Print the result as JSON instead of a table."`
 	Overprovision float64 `default:"0" help:"Factor by which the usable part of a tier is scaled; 0 for the default."`
-	Driver        string  `enum:"virtual,sockets" default:"virtual" help:"virtual: the decision module in virtual time. sockets: real gateways in real time."`
+	Driver        string  `enum:"virtual,sockets,processes" default:"virtual" help:"virtual: the decision module, or the members, in virtual time. sockets: real gateways in real time. processes: days of members with real processes, and relays between them."`
 	Gateway       string  `type:"existingfile" help:"Program that is held against the one of this build, on sockets; this one without zones by default."`
 	Logs          string  `type:"path" help:"File for what the gateways write, on sockets."`
 	Break         string  `enum:",cold-room,no-drains,old-reads,two-runs" default:"" help:"A defect made on purpose, which the claims should show: cold-room, no-drains, old-reads or two-runs."`
@@ -102,7 +102,10 @@
 	}
 	o := lab.Options{Seed: c.Seed, Seeds: c.Seeds, Short: c.Short, Version: version(), Logs: io.Discard, Break: lab.Breaks[c.Break], Members: c.Members,
 		Zones: zones.Options{Overprovision: c.Overprovision, DetectOnly: c.DetectOnly}}
-	if c.Driver == "sockets" {
+	if c.Driver == "processes" && !strings.HasPrefix(c.Experiment, "members-") {
+		return errors.New("only days of members are played with processes")
+	}
+	if c.Driver != "virtual" {
 		program, clean, err := gateway()
 		if err != nil {
 			return err
--- a/internal/balancers/balancers.go
+++ b/internal/balancers/balancers.go
@@ -84,31 +84,58 @@
 // ServeHealth answers GET, HEAD and OPTIONS for /health, and /counters with text, until the context ends.
 func ServeHealth(ctx context.Context, l net.Listener, s *Status, counters func() string) error {
 	return serve(ctx, l, func(c net.Conn) error {
-		method, target, err := request(netbuf.New(c, mostLine))
-		if err != nil {
-			c.Write([]byte("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
-			return err
-		}
-		status, text := "404 Not Found", "not found\n"
-		target, _, _ = strings.Cut(target, "?")
-		switch {
-		case method != "GET" && method != "HEAD" && method != "OPTIONS":
-			status, text = "405 Method Not Allowed", "GET, HEAD or OPTIONS\n"
-		case target == "/health", target == "/": // HAProxy's own default asks for the root
-			status, text = s.health()
-		case target == "/counters":
-			status, text = "200 OK", strings.ReplaceAll(counters(), " ", "\n")+"\n"
-		}
-		head := fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nCache-Control: no-store\r\n"+
-			"Connection: close\r\n\r\n", status, len(text))
-		if method == "HEAD" {
-			text = ""
-		}
-		_, err = c.Write([]byte(head + text))
-		return err
+		return answerHTTP(c, func(target string) (status, text string) {
+			switch target {
+			case "/health", "/": // HAProxy's own default asks for the root
+				return s.health()
+			case "/counters":
+				return "200 OK", strings.ReplaceAll(counters(), " ", "\n") + "\n"
+			}
+			return notFound, "not found\n"
+		})
 	})
 }
 
+// ServeAdmin answers GET for the pages that are given, each with what its function returns, until the context ends.
+func ServeAdmin(ctx context.Context, l net.Listener, pages map[string]func() (string, error)) error {
+	return serve(ctx, l, func(c net.Conn) error {
+		return answerHTTP(c, func(target string) (status, text string) {
+			page := pages[target]
+			if page == nil {
+				return notFound, "not found\n"
+			}
+			text, err := page()
+			if err != nil {
+				return "503 Service Unavailable", err.Error() + "\n"
+			}
+			return "200 OK", text
+		})
+	})
+}
+
+const notFound = "404 Not Found"
+
+// answerHTTP reads a request and answers it with what stands at its target.
+func answerHTTP(c net.Conn, at func(target string) (status, text string)) error {
+	method, target, err := request(netbuf.New(c, mostLine))
+	if err != nil {
+		c.Write([]byte("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+		return err
+	}
+	status, text := "405 Method Not Allowed", "GET, HEAD or OPTIONS\n"
+	if method == "GET" || method == "HEAD" || method == "OPTIONS" {
+		target, _, _ = strings.Cut(target, "?")
+		status, text = at(target)
+	}
+	head := fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nCache-Control: no-store\r\n"+
+		"Connection: close\r\n\r\n", status, len(text))
+	if method == "HEAD" {
+		text = ""
+	}
+	_, err = c.Write([]byte(head + text))
+	return err
+}
+
 // request reads a request line and passes over the headers.
 func request(c *netbuf.Conn) (method, target string, err error) {
 	first, err := c.Line()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,6 +41,41 @@
 	}
 }
 
+// TestFleetTable reads the table of the other gateways and the admin listener, and names their faults.
+func TestFleetTable(t *testing.T) {
+	dir := t.TempDir()
+	path, key := filepath.Join(dir, "operator.toml"), filepath.Join(dir, "key")
+	if err := os.WriteFile(key, []byte(strings.Repeat("ab", 32)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	sealed := "key_file = \"" + key + "\"\n"
+	for text, want := range map[string]string{
+		"name = \"g\"\nlisten = \"127.0.0.1:7946\"\n":                                                 "",
+		"name = \"g\"\nlisten = \"0.0.0.0:7946\"\nadvertise = \"10.0.0.1:7946\"\n" + sealed:           "",
+		"name = \"g\"\nlisten = \"10.0.0.1:7946\"\njoin = [\"10.0.0.2:7946\"]\n":                      "key_file is needed",
+		"name = \"g\"\nlisten = \"127.0.0.1:7946\"\njoin = [\"10.0.0.2:7946\"]\n":                     "key_file is needed",
+		"name = \"g\"\nlisten = \"0.0.0.0:7946\"\n" + sealed:                                          "nobody can be reached",
+		"listen = \"127.0.0.1:7946\"\n":                                                               "name is missing",
+		"name = \"g\"\nlisten = \"here\"\n":                                                           "no address and port",
+		"name = \"g\"\nlisten = \"127.0.0.1:7946\"\nkey_file = \"/none\"\n":                           "reading the keys",
+		"name = \"" + strings.Repeat("g", 65) + "\"\nlisten = \"127.0.0.1:7946\"\n":                   "longer than 64",
+		"name = \"g\"\nlisten = \"127.0.0.1:7946\"\nseeds = []\n":                                     "unknown key fleet.seeds",
+		"name = \"g\"\nlisten = \"127.0.0.1:7946\"\n[admin]\nlisten = \"0.0.0.0:80\"\n":               "no address and port on loopback",
+		"name = \"g\"\nlisten = \"127.0.0.1:7946\"\n[admin]\nlisten = \"127.0.0.1:17\"\n" + "#" + key: "",
+	} {
+		if err := os.WriteFile(path, []byte("[fleet]\n"+text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		o, err := LoadOperator(path, nil)
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+		if err == nil && (o.Fleet.Fleet != "cranegate" || o.Fleet.Advertise == "" || len(o.Fleet.Keys) > 0 != strings.Contains(text, sealed)) {
+			t.Errorf("%q: %+v", text, o.Fleet)
+		}
+	}
+}
+
 // TestExamplesLoad guards the configurations that newcomers and operators start from.
 func TestExamplesLoad(t *testing.T) {
 	text, err := os.ReadFile("../../examples/config.json")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,15 +1,19 @@
 package config
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/BurntSushi/toml"
 
 	"cranegate/internal/list"
+	"cranegate/internal/members"
+	"cranegate/internal/peers"
 	"cranegate/internal/zones"
 )
 
@@ -20,6 +24,8 @@
 	Health     Listener `toml:"health"`      // the health endpoint over HTTP
 	Limits     Limits   `toml:"limits"`      // where no platform gives any
 	Zones      *Zones   `toml:"zones"`       // zones as a whole, and tiers of preference; nil: off
+	Fleet      *Fleet   `toml:"fleet"`       // the other gateways; nil: none are known
+	Admin      Listener `toml:"admin"`       // for cranegate members; on loopback alone
 
 	RawSettings map[string]any `toml:"settings"`
 	Settings    *Settings      `toml:"-"`
@@ -49,6 +55,74 @@
 		Hold: time.Duration(z.HoldMS) * time.Millisecond, Ramp: time.Duration(z.RampMS) * time.Millisecond}
 }
 
+// Fleet is how this gateway and the others know each other.
+type Fleet struct {
+	Fleet     string   `toml:"fleet"`     // the fleet's name: gateways of others are not taken in; "cranegate"
+	Name      string   `toml:"name"`      // this gateway's, one to each
+	Listen    string   `toml:"listen"`    // address and port, for datagrams and streams
+	Advertise string   `toml:"advertise"` // where the others reach it; Listen
+	Join      []string `toml:"join"`      // addresses and ports of some others
+	KeyFile   string   `toml:"key_file"`  // see peers.ReadKeys; needed outside loopback
+	Zone      string   `toml:"zone"`      // that of the settings
+
+	Keys     peers.Keys `toml:"-"`
+	Gateways int        `toml:"-"` // that are expected
+}
+
+// Options are those of the sockets. They have been checked.
+func (f *Fleet) Options(seed uint64) peers.Options {
+	return peers.Options{Listen: f.Listen, Keys: f.Keys, Members: members.Options{Fleet: f.Fleet, Name: f.Name, Zone: f.Zone, Addr: f.Advertise,
+		Join: f.Join, Gateways: f.Gateways, Seed: seed}}
+}
+
+// longest is the length of the names and addresses that members tell each other, in bytes.
+const longest = 64
+
+// mostJoin bounds the addresses to join: any member tells of all others.
+const mostJoin = 64
+
+// check fills in defaults, reads the keys and names what is wrong.
+func (f *Fleet) check(s *Settings) error {
+	if f.Zone == "" && s != nil {
+		f.Zone = s.Rules.Zone
+	}
+	if s != nil {
+		f.Gateways = s.Rules.Gateways
+	}
+	f.Fleet, f.Advertise = cmp.Or(f.Fleet, "cranegate"), cmp.Or(f.Advertise, f.Listen)
+	if f.Name == "" {
+		return errors.New("name is missing")
+	}
+	for _, x := range []string{f.Fleet, f.Name, f.Zone, f.Advertise} {
+		if len(x) > longest {
+			return fmt.Errorf("%q is longer than %d bytes", x, longest)
+		}
+	}
+	if len(f.Join) > mostJoin {
+		return fmt.Errorf("join has %d addresses; %d are enough", len(f.Join), mostJoin)
+	}
+	outside := false
+	for i, x := range append([]string{f.Listen, f.Advertise}, f.Join...) {
+		at, err := netip.ParseAddrPort(x)
+		if err != nil || at.Port() == 0 {
+			return fmt.Errorf("%q is no address and port", x)
+		}
+		if at.Addr().IsUnspecified() && i > 0 {
+			return fmt.Errorf("nobody can be reached at %q: advertise and join name addresses", x)
+		}
+		outside = outside || !at.Addr().IsLoopback()
+	}
+	if f.KeyFile == "" {
+		if outside {
+			return errors.New("outside loopback key_file is needed: whoever can send datagrams here could take part")
+		}
+		return nil
+	}
+	var err error
+	f.Keys, err = peers.ReadKeys(f.KeyFile)
+	return err
+}
+
 // MySQL is the second front with its database hosts.
 type MySQL struct {
 	Listen            string        `toml:"listen"`
@@ -98,6 +172,16 @@
 			return nil, fmt.Errorf("reading the operator's file: zones: %w", err)
 		}
 	}
+	if o.Admin.Listen != "" {
+		if at, err := netip.ParseAddrPort(o.Admin.Listen); err != nil || !at.Addr().IsLoopback() {
+			return nil, fmt.Errorf("reading the operator's file: admin: %q is no address and port on loopback", o.Admin.Listen)
+		}
+	}
+	if o.Fleet != nil {
+		if err := o.Fleet.check(o.Settings); err != nil {
+			return nil, fmt.Errorf("reading the operator's file: fleet: %w", err)
+		}
+	}
 	if o.MySQL == nil {
 		return o, nil
 	}
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -51,6 +51,14 @@
 	return &Keeper{fleet: float64(max(1, fleet)), longest: longest, askedAt: now, began: now, part: 1, fellAt: now, after: growAfter}
 }
 
+// Fleet takes the number of gateways, which has changed. True says that there are more: idle connections to all hosts are
+// to be looked at again.
+func (k *Keeper) Fleet(n int) bool {
+	more := float64(n) > k.fleet
+	k.fleet = float64(max(1, n))
+	return more
+}
+
 // Host is what the rule holds of one host. The zero value is a host that no attempt has gone to.
 type Host struct {
 	asked float64 // attempts, older ones counting less, as of at
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -172,3 +172,19 @@
 		t.Errorf("the part is %.3f after a sign", k.part)
 	}
 }
+
+// TestFleetChanges has gateways come and go: each keeps its part of what is there, at once.
+func TestFleetChanges(t *testing.T) {
+	now := time.Now()
+	k, h := New(10, 20*time.Second, now), Host{}
+	k.Asked(now, &h, 1)
+	if k.For(now, &h, 9) != 20*time.Second {
+		t.Fatal("of ten gateways each keeps ten connections")
+	}
+	if !k.Fleet(100) || k.For(now, &h, 9) != 0 || k.For(now, &h, 0) != 20*time.Second {
+		t.Error("of a hundred gateways each keeps one, and looks at what it has")
+	}
+	if k.Fleet(10) || k.For(now, &h, 9) != 20*time.Second {
+		t.Error("fewer gateways keep more each, and have nothing to close")
+	}
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -249,11 +249,14 @@
 		return nil, fmt.Errorf("%d seeds are too few", o.Seeds)
 	}
 	switch {
-	case (e.fleet != nil || e.long || e.members != nil) && o.Program != "":
+	case (e.fleet != nil || e.long) && o.Program != "":
 		return nil, fmt.Errorf("%s is played in virtual time alone", e.Name)
 	case e.fleet != nil:
 		return e.runFleet(ctx, o)
 	case e.members != nil:
+		if o.Program != "" {
+			return e.runProcesses(ctx, o)
+		}
 		return e.runMembers(ctx, o)
 	case e.long:
 		return e.soak(ctx, o)
--- a/internal/lab/memberdays_test.go
+++ b/internal/lab/memberdays_test.go
@@ -32,7 +32,7 @@
 		if d.name != "members-pair" {
 			continue
 		}
-		if x := playMembers(d.memberDay, 20, 0.1, true, 1); x.lies == 0 || len(x.notes) == 0 {
+		if x := playMembers(d, 20, 0.1, true, 1); x.lies == 0 || len(x.notes) == 0 {
 			t.Errorf("%s: no false verdict was found", d.name)
 		}
 	}
--- /dev/null
+++ b/internal/lab/procs_test.go
@@ -0,0 +1,165 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cranegate/internal/config"
+	"cranegate/internal/peers"
+)
+
+// breakEnv has the test's own program run as a member with a defect, by whose name it is set.
+const breakEnv = "CRANELAB_BROKEN_MEMBER"
+
+func TestMain(m *testing.M) {
+	if defect := os.Getenv(breakEnv); defect != "" {
+		fmt.Fprintln(os.Stderr, brokenMember(defect, os.Args[1]))
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// brokenMember runs a member that is broken on purpose. It returns only what went wrong.
+func brokenMember(defect, file string) error {
+	o, err := config.LoadOperator(file, nil)
+	if err != nil {
+		return err
+	}
+	opt := o.Fleet.Options(o.Seed)
+	opt.Members.Plain = defect == "hasty" // a verdict after one trial, hearsay, and no doubt of itself
+	p, err := peers.Listen(opt)
+	if err != nil {
+		return err
+	}
+	go p.Run(context.Background())
+	return http.ListenAndServe(o.Admin.Listen, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		v, err := p.View(context.Background())
+		if err != nil {
+			panic(err)
+		}
+		if defect == "greedy" { // it uses the whole of every budget
+			v.Part = 1
+		}
+		for i := range v.Members {
+			if defect == "blind" { // it does not notice who is gone
+				v.Members[i].State = "alive"
+			}
+		}
+		json.NewEncoder(w).Encode(v)
+	}))
+}
+
+func broken(defect string) func(string) *exec.Cmd {
+	return func(file string) *exec.Cmd {
+		cmd := exec.Command(os.Args[0], file)
+		cmd.Env = append(os.Environ(), breakEnv+"="+defect)
+		return cmd
+	}
+}
+
+// TestProcesses starts five gateways and plays a day between them: messages are lost, doubled, spoilt and late, one link is
+// cut in one direction, one process stands still, one is killed and starts anew, and one hears nobody.
+func TestProcesses(t *testing.T) {
+	t.Parallel()
+	program := filepath.Join(t.TempDir(), "cranegate")
+	if out, err := exec.Command("go", "build", "-race", "-o", program, "cranegate/cmd/cranegate").CombinedOutput(); err != nil {
+		t.Fatalf("building: %v\n%s", err, out)
+	}
+	e, err := Find("members-short")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var logs strings.Builder
+	x, err := playProcesses(context.Background(), e.members, 5, e.members.Losses[0], 1,
+		func(file string) *exec.Cmd { return exec.Command(program, "--operator", file) }, &logs)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, logs.String())
+	}
+	if x.lies != 0 || x.parts > 1+1e-9 || x.unequal != 0 || x.healed >= processWait.Seconds() {
+		t.Errorf("%d live members held as failed, parts of a budget %.3f, %d views not the living after %.1f s: %v", x.lies, x.parts, x.unequal, x.healed, x.notes)
+	}
+	if x.changes < 20 {
+		t.Errorf("%d news of members were seen: the judge reads nothing", x.changes)
+	}
+	if text := logs.String(); strings.Contains(text, "DATA RACE") || strings.Contains(text, "panic:") {
+		t.Errorf("a gateway is at fault:\n%s", text)
+	}
+}
+
+// TestProcessJudgeFinds plays with members that are broken on purpose, each in its way: the judge has to see it.
+func TestProcessJudgeFinds(t *testing.T) {
+	day := func(text string) *memberDay {
+		d, err := readDay("about = \"broken members\"\nlosses = [0.0]\n" + text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	for _, c := range []struct {
+		defect string
+		day    *memberDay
+		found  func(processFigures) bool
+	}{
+		{"hasty", day("length_s = 7\n[[fault]]\nkind = \"cut\"\nwho = \"but 1\"\nto = \"one 1\"\nexcuses = [\"one 1\"]"), func(x processFigures) bool { return x.lies > 0 }},
+		{"greedy", day("length_s = 1"), func(x processFigures) bool { return x.parts > 1.5 }},
+		{"blind", day("length_s = 7\n[[fault]]\nkind = \"kill\"\nat_s = 1\nwho = \"one 1\""), func(x processFigures) bool { return x.unequal > 0 }},
+	} {
+		t.Run(c.defect, func(t *testing.T) {
+			t.Parallel()
+			x, err := playProcesses(context.Background(), c.day, 4, c.day.Losses[0], 2, broken(c.defect), io.Discard)
+			if err == nil && !c.found(x) {
+				t.Errorf("nothing was found: %+v", x)
+			} else if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestNothingIsLeft ends a day from outside and looks for what is still there.
+func TestNothingIsLeft(t *testing.T) {
+	t.Parallel()
+	d, err := readDay("about = \"long\"\nlosses = [0.0]\nlength_s = 60")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	var started []*exec.Cmd
+	_, err = playProcesses(ctx, d, 3, 0, 1, func(file string) *exec.Cmd {
+		started = append(started, broken("none")(file))
+		return started[len(started)-1]
+	}, io.Discard)
+	if err == nil || len(started) != 3 {
+		t.Fatalf("it ended by itself (%v), with %d members", err, len(started))
+	}
+	for _, cmd := range started {
+		if cmd.ProcessState == nil {
+			t.Errorf("process %d has not ended", cmd.Process.Pid)
+		}
+	}
+}
+
+// TestDaysRefused reads days with faults.
+func TestDaysRefused(t *testing.T) {
+	head := "about = \"x\"\nlosses = [0.0]\nlength_s = 5\n"
+	for _, text := range []string{"", "about = \"x\"\nlength_s = 5", head + "heals_s = 1", head + "[[fault]]\nkind = \"flood\"\nwho = \"all\"",
+		head + "[[fault]]\nkind = \"cut\"\nwho = \"all\"", head + "[[fault]]\nkind = \"kill\"\nwho = \"one\"", head + "[[fault]]\nkind = \"kill\"\nwho = \"one 1\"\nat_s = 6",
+		head + "[[fault]]\nkind = \"noise\"\nwho = \"all\"\nto = \"all\"\nlose = 2.0", head + "[[fault]]\nkind = \"narrow\"\nwho = \"all\"\nto = \"all\""} {
+		if _, err := readDay(text); err == nil {
+			t.Errorf("this was taken:\n%s", text)
+		}
+	}
+	if _, err := readDay(head); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -113,7 +113,9 @@
 	moreAfter   = 3                       // tries, from when on twice as many are asked: two of each zone
 	errandsMost = 64                      // at a time
 	errandPings = 3                       // of a member that is asked
-	perMessage  = 10                      // rows in a datagram of 1,200 bytes, with names, zones and addresses of 25
+	perMessage  = 10                      // rows in a datagram, as far as they fit
+	rowMost     = 48                      // bytes of a row without its name, zone and address
+	headMost    = 64                      // bytes of a message without its rows
 	spreadTimes = 6                       // a row rides on so many messages times log10 of the members (SWIM's lambda)
 	tryEvery    = 100 * time.Millisecond  // a suspect is tried anew after this
 	errandEvery = 200 * time.Millisecond  // between them: over round trips, delays and small stalls
@@ -214,9 +216,10 @@
 	o.Period, o.Most = cmp.Or(o.Period, 250*time.Millisecond), cmp.Or(o.Most, 1000)
 	n := &Node{opt: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), table: map[Start]*entry{}, pings: map[uint64]Start{},
 		now: now, heardAt: now, answerAt: now, quietAt: now, syncAt: now + syncGap, settled: map[Start]bool{},
-		counted: max(1, o.Gateways), met: len(o.Join) == 0}
+		counted: max(1, o.Gateways)}
 	n.self = Row{Start: Start(n.rng.Uint64() | 1), Name: o.Name, Zone: o.Zone, Addr: o.Addr}
 	n.settled[n.self.Start] = true
+	n.Join(o.Join)
 	n.nextAt = now + time.Duration(n.rng.Int64N(int64(o.Period)))
 	return n, nil
 }
@@ -321,9 +324,9 @@
 // also while the fleet is cut in two: a side with less than half of the last settled view uses none after lapse, and
 // the other one shrinks, and so uses more, only after goneAfter, which is longer than it takes to notice a cut and
 // lapse. With just half neither shrinks, and both go on. One that starts, comes back from such a side, or stood still for
-// lapse waits until all others count it again.
+// lapse waits until all others count it again; and one that has met nobody yet does not know who uses what.
 func (n *Node) Part() float64 {
-	if n.now < n.restrainedTo || n.lesserAt > 0 && n.now-n.lesserAt >= lapse {
+	if !n.met || n.now < n.restrainedTo || n.lesserAt > 0 && n.now-n.lesserAt >= lapse {
 		return 0
 	}
 	return 1 / float64(n.counted)
@@ -376,6 +379,12 @@
 	}
 }
 
+// Join replaces the addresses to try. Where they name nobody else there is nobody to wait for.
+func (n *Node) Join(addrs []string) {
+	n.opt.Join = addrs
+	n.met = n.met || !slices.ContainsFunc(addrs, func(a string) bool { return a != n.self.Addr })
+}
+
 // Drain announces that this gateway takes nothing new.
 func (n *Node) Drain() { n.self.State = Draining }
 
@@ -399,7 +408,7 @@
 		m.From.Settled = n.settled[n.self.Start]
 		m.Rows = n.Members()
 	} else {
-		m.Rows = n.gossip()
+		m.Rows = n.gossip(MaxDatagram - headMost - len(m.Fleet) - size(m.From) - size(m.About))
 	}
 	m.View = n.view()
 	n.out = append(n.out, m)
@@ -416,11 +425,17 @@
 	return x ^ x>>31
 }
 
-// gossip takes the rows that have been sent on least.
-func (n *Node) gossip() (rows []Row) {
+// size bounds a row's bytes on the wire.
+func size(r Row) int { return rowMost + len(r.Name) + len(r.Zone) + len(r.Addr) }
+
+// gossip takes the rows that have been sent on least, as far as they fit into so many bytes.
+func (n *Node) gossip(room int) (rows []Row) {
 	hot := n.hot
 	slices.SortStableFunc(hot, func(a, b *entry) int { return cmp.Compare(b.sends, a.sends) })
 	for _, e := range hot[:min(len(hot), perMessage)] {
+		if room -= size(e.Row); room < 0 {
+			break
+		}
 		e.sends--
 		r := n.row(e)
 		r.Settled = false
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -393,3 +394,59 @@
 		}
 	}
 }
+
+// TestStartsWithoutPart has a gateway start before seeds that are all dead: it does not know who else uses the budget.
+// One whose list names itself alone is the first of all.
+func TestStartsWithoutPart(t *testing.T) {
+	for _, c := range []struct {
+		join []string
+		want float64
+	}{{[]string{"dead", "self"}, 0}, {[]string{"self"}, 0.25}, {nil, 0.25}} {
+		n, err := New(0, Options{Name: "g", Addr: "self", Join: c.join, Gateways: 4, Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for now := time.Duration(0); now <= 4*time.Second; now += tick {
+			n.Tick(now)
+			if n.Part() != c.want {
+				t.Fatalf("joining %v: a part of %v after %v, want %v", c.join, n.Part(), now, c.want)
+			}
+		}
+		n.Join(nil)
+		if n.Part() == 0 {
+			t.Errorf("joining %v: no part though there is nobody to wait for any more", c.join)
+		}
+	}
+}
+
+// TestLongNames has members with the longest names, zones and addresses tell each other of many: no datagram may be too long
+// to be sent.
+func TestLongNames(t *testing.T) {
+	long := func(c string, i int) string { return fmt.Sprintf("%02d%s", i, strings.Repeat(c, longest-2)) }
+	n, err := New(0, Options{Fleet: long("f", 0), Name: long("n", 0), Zone: long("z", 0), Addr: long("a", 0), Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := map[Start]bool{}
+	for i := range 40 {
+		from := Row{Start: Start(math.MaxUint64 - uint64(i)), Name: long("n", i+1), Zone: long("z", i+1), Addr: long("a", i+1), Beat: math.MaxUint64}
+		n.Step(time.Duration(i)*time.Millisecond, Message{Kind: Ping, Fleet: long("f", 0), From: from, Seq: math.MaxUint64})
+	}
+	for now := tick; now < 20*time.Second; now += tick {
+		n.Tick(now)
+		out, _ := n.Ready()
+		for _, m := range out {
+			if b, err := Encode(m); err != nil {
+				t.Fatal(err)
+			} else if m.Kind != Sync && m.Kind != Synced && len(b) > MaxDatagram {
+				t.Fatalf("a datagram of %d bytes", len(b))
+			}
+			for _, r := range m.Rows {
+				told[r.Start] = true
+			}
+		}
+	}
+	if len(told) != 40 {
+		t.Errorf("%d of 40 members were told of", len(told))
+	}
+}
--- a/internal/members/wire.go
+++ b/internal/members/wire.go
@@ -7,9 +7,11 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// MaxDatagram bounds every message but Sync and Synced, which go by a stream and are bounded by MaxStream.
+// MaxDatagram bounds every message but Sync and Synced, which go by a stream and are bounded by MaxStream. With Overhead for
+// a seal around it a datagram stays within 1,200 bytes.
 const (
-	MaxDatagram = 1200
+	Overhead    = 48
+	MaxDatagram = 1200 - Overhead
 	MaxStream   = 256 << 10
 	version     = 1 // of the encoding: the first byte
 )
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,18 +20,23 @@
 	askedMost = 30 * time.Second       // longest wait that the service may ask for
 )
 
-// Caller is the pace of one gateway's calls. One goroutine uses it.
+// Caller is the pace of one gateway's calls. One goroutine uses it; Fleet alone may be called by others.
 type Caller struct {
-	fleet    int
+	fleet    atomic.Int64
 	rng      *rand.Rand
 	failures int // in a row
 }
 
 // New makes the pace of one of so many gateways. The seed has to differ from gateway to gateway.
 func New(fleet int, seed uint64) *Caller {
-	return &Caller{fleet: max(1, fleet), rng: rand.New(rand.NewPCG(seed, 1))}
+	c := &Caller{rng: rand.New(rand.NewPCG(seed, 1))}
+	c.Fleet(fleet)
+	return c
 }
 
+// Fleet takes the number of gateways.
+func (c *Caller) Fleet(n int) { c.fleet.Store(int64(max(1, n))) }
+
 // Answered notes a call that was answered.
 func (c *Caller) Answered() { c.failures = 0 }
 
@@ -40,7 +46,7 @@
 func (c *Caller) Failed(turnedAway bool, asked time.Duration) time.Duration {
 	wait := quickly
 	if c.failures++; turnedAway {
-		wait = min(max(wait, time.Duration(c.fleet)*failEach), failMost)
+		wait = min(max(wait, time.Duration(c.fleet.Load())*failEach), failMost)
 	} else if c.failures == 1 {
 		return wait
 	}
--- a/internal/servers/keep.go
+++ b/internal/servers/keep.go
@@ -35,6 +35,13 @@
 	return s.keeper.NoRoom(time.Now())
 }
 
+// fleet takes the number of gateways, and says whether less may be kept from now on.
+func (s *sharedKeeper) fleet(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Fleet(n)
+}
+
 // found notes that a host had room for a new connection.
 func (s *sharedKeeper) found() {
 	s.mu.Lock()
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -71,6 +71,7 @@
 const (
 	restFor   = 100 * time.Millisecond // a connection rests after an answer: what does not belong to it may follow
 	mostRests = 12                     // but no more than so many connections to a host are opened for that
+	lookAgain = 50 * time.Millisecond  // after a full mailbox
 	waitFor   = 10 * time.Millisecond  // an attempt that has waited so long for a new connection takes any
 )
 
@@ -102,6 +103,13 @@
 // Wait returns once the actors have ended, after the context.
 func (p *Pool) Wait() error { return p.group.Wait() }
 
+// Gateways takes the number of gateways in the fleet, which has changed. It never blocks.
+func (p *Pool) Gateways(n int) {
+	if p.keep.fleet(n) {
+		p.tell(trim{})
+	}
+}
+
 // Update takes news of the list: a new address means new connections, and a host that is gone is let go.
 func (p *Pool) Update(l core.List) {
 	p.mu.Lock()
@@ -376,10 +384,19 @@
 	}
 	if at := now.Add(next); len(h.idle) > 0 && next < h.pool.opt.IdleFor && (h.trimAt.IsZero() || at.Before(h.trimAt)) {
 		h.trimAt = at
-		time.AfterFunc(next, func() { h.tell(trim{}) })
+		h.lookAfter(next)
 	}
 }
 
+// lookAfter has idle connections looked at after a time. Where the mailbox is full it comes again: no other look is planned.
+func (h *host) lookAfter(wait time.Duration) {
+	time.AfterFunc(wait, func() {
+		if !h.tell(trim{}) && h.ctx.Err() == nil {
+			h.lookAfter(lookAgain)
+		}
+	})
+}
+
 // closeIdle closes idle connections but for a number of them. The oldest go first.
 func (h *host) closeIdle(keep int) {
 	for len(h.idle) > keep {
