--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -74,6 +74,7 @@
 	slow        bool          // claims that no zone is condemned
 	loads       []float64
 	members     *memberDay
+	gateways    *gatewayDay
 	long        bool      // a long day of which nothing may be left
 	fleet       *fleetDay // a day of a whole fleet; nil: of a zone
 }
@@ -251,6 +252,10 @@
 	switch {
 	case (e.fleet != nil || e.long) && o.Program != "":
 		return nil, fmt.Errorf("%s is played in virtual time alone", e.Name)
+	case e.gateways != nil && o.Program == "":
+		return nil, fmt.Errorf("%s is played with processes alone", e.Name)
+	case e.gateways != nil:
+		return e.runGateways(ctx, o)
 	case e.fleet != nil:
 		return e.runFleet(ctx, o)
 	case e.members != nil:
--- a/internal/lab/procs_test.go
+++ b/internal/lab/procs_test.go
@@ -95,6 +95,50 @@
 	}
 }
 
+// TestGatewaysCut plays some seconds with clients and hosts before three gateways that know each other, of which one is cut
+// off while hosts of a zone start cold. What is held here does not hang on the machine's pace.
+func TestGatewaysCut(t *testing.T) {
+	t.Parallel()
+	program := filepath.Join(t.TempDir(), "cranegate")
+	if out, err := exec.Command("go", "build", "-race", "-o", program, "cranegate/cmd/cranegate").CombinedOutput(); err != nil {
+		t.Fatalf("building: %v\n%s", err, out)
+	}
+	d := gatewayDays[0].gatewayDay
+	d.spec.Rate, d.spec.Length = 10, 17*sec
+	d.spec.Faults = []Fault{{Kind: Crash, Zone: "nuernberg", At: 9 * sec, For: 3 * sec}}
+	d.members = mustDay(`
+about = "one of three is cut off"
+losses = [0.1]
+length_s = 8
+[[fault]]
+kind = "cut"
+who = "one 0"
+to = "but 0"
+excuses = ["one 0", "but 0"]
+[[fault]]
+kind = "cut"
+who = "but 0"
+to = "one 0"
+excuses = ["one 0", "but 0"]
+`)
+	var logs strings.Builder
+	x, j, err := playGateways(context.Background(), d, 3, 0.1, 3, program, true, &logs)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, logs.String())
+	}
+	for _, name := range []string{"stale_reads", "second_runs", "wrong_answers", "tipped_over"} {
+		if n := j.rules()[name]; n > 0 {
+			t.Errorf("%s: %.0f: %v", name, n, j.notes)
+		}
+	}
+	if x.lies != 0 || x.parts > 1+1e-9 || x.changes < 6 {
+		t.Errorf("%d held as failed, parts %.3f, %d news: %v", x.lies, x.parts, x.changes, x.notes)
+	}
+	if _, asked, earned := j.earned(epoch, epoch+8*sec); len(j.asks) < 200 || earned < asked/2 {
+		t.Errorf("%d requests; of %.0f asked for before the cut %.0f was earned", len(j.asks), asked, earned)
+	}
+}
+
 // TestProcessJudgeFinds plays with members that are broken on purpose, each in its way: the judge has to see it.
 func TestProcessJudgeFinds(t *testing.T) {
 	day := func(text string) *memberDay {
