--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -212,8 +212,8 @@
 }
 
 // reloads reads the configuration again at each signal. It moves the watches on discovery, takes the hosts of a fleet that
-// stand in the file itself, tiers of zones, and addresses and keys of the other gateways; all else holds from the start on. A configuration with a fault is logged and
-// changes nothing.
+// stand in the file itself, tiers of zones, and addresses and keys of the other gateways; all else holds from the start on. A
+// configuration with a fault is logged and changes nothing.
 func (g *gateway) reloads(changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) {
 	for {
 		select {
--- a/internal/lab/days.go
+++ b/internal/lab/days.go
@@ -29,13 +29,14 @@
 	name string
 }
 
-// memberFault befalls some of the members, or their messages to some others, in that direction alone.
+// memberFault befalls some of the members, or their messages to some others.
 type memberFault struct {
 	Kind memberKind `toml:"kind"`
 	At   seconds    `toml:"at_s"`
 	For  seconds    `toml:"for_s"` // 0: for the rest of the day
 	Who  selector   `toml:"who"`
 	To   selector   `toml:"to"`
+	Both bool       `toml:"both"` // also what To send to Who
 	// Excuses says whom those that are not of the same selection may hold as failed while it lasts: whom nobody on their
 	// side reaches, or who stands still for longer than is promised to be borne. For some seconds after the end all are
 	// excused that anybody was.
@@ -158,7 +159,7 @@
 		switch {
 		case !link && f.Kind != pause && f.Kind != kill && f.Kind != leave:
 			return nil, fmt.Errorf("fault %d: there is no kind %q", i, f.Kind)
-		case f.Who.has == nil || link != (f.To.has != nil):
+		case f.Who.has == nil || link != (f.To.has != nil) || f.Both && !link:
 			return nil, fmt.Errorf("fault %d: who, and to where messages are concerned, are needed", i)
 		case f.At < 0 || f.For < 0 || f.At+f.For > d.Length:
 			return nil, fmt.Errorf("fault %d: it lies outside the day", i)
@@ -251,7 +252,9 @@
 	x := fate{copies: 1, lost: l.rng.Float64() < l.loss}
 	for _, f := range l.holds {
 		if !f.Who.has(from, l.n) || !f.To.has(to, l.n) {
-			continue
+			if !f.Both || !f.Who.has(to, l.n) || !f.To.has(from, l.n) {
+				continue
+			}
 		}
 		switch f.Kind {
 		case cutOff:
--- a/internal/lab/gateways.go
+++ b/internal/lab/gateways.go
@@ -42,13 +42,7 @@
 for_s = 12
 who = "lower"
 to = "upper"
-excuses = ["lower", "upper"]
-[[fault]]
-kind = "cut"
-at_s = 1
-for_s = 12
-who = "upper"
-to = "lower"
+both = true
 excuses = ["lower", "upper"]
 [[fault]]
 kind = "pause"
@@ -131,7 +125,10 @@
 		}
 		play.Go(func() error {
 			for _, p := range r.procs {
-				if p.up = true; on {
+				r.mu.Lock()
+				p.up = true
+				r.mu.Unlock()
+				if on {
 					if err := r.greet(p); err != nil {
 						return err
 					}
@@ -180,6 +177,9 @@
 				}
 				on := arms[1]
 				sum.lies, sum.changes, sum.notes = sum.lies+on.lies, sum.changes+on.changes, append(sum.notes, on.notes...)
+				if i == 0 || on.excused < sum.excused {
+					sum.excused = on.excused
+				}
 				sum.healed, sum.parts = max(sum.healed, on.healed), max(sum.parts, on.parts)
 				for name, k := range judges[1].rules() {
 					broken[name] += k
@@ -206,6 +206,7 @@
 			r.claim(p+"live members held as failed", float64(sum.lies), "==", 0)
 			r.claim(p+"of a budget that all may use together, at most", sum.parts, "<=", 1+1e-9)
 			r.claim(p+"news that were seen of them", float64(sum.changes), ">=", float64(n*(n-1)*o.Seeds))
+			r.claim(p+"verdicts across the cut, which show that it was one, least day", float64(sum.excused), ">=", float64(n))
 			r.claim(p+"s until all views are the living, worst day", sum.healed, "<=", time.Duration(d.members.Heal).Seconds())
 			r.claim(p+"worth, over that without knowing each other", (earned[1]/asked[1])/(earned[0]/asked[0]), ">=", 0.99)
 			r.claim(p+"MB more resident, on the mean", resident[1]-resident[0], "<=", 3)
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -39,18 +39,13 @@
 
 	mu      sync.Mutex // guards what follows: lines come from each process's own goroutine
 	excuses []excuse
-	starts  map[string]*life
+	starts  map[string]int // whose each start is
 	died    map[string]time.Duration
 	knew    map[string][]time.Duration
 	lies    int
 	notes   []string
 	changes int // verdicts and other news that were seen: a rig that reads nothing judges nothing
-}
-
-// life is one start of a process.
-type life struct {
-	i     int
-	alive bool
+	excused int // verdicts on the living that were to be expected: without any a cut has cut nothing
 }
 
 // process is one member.
@@ -84,6 +79,7 @@
 	parts         float64 // of a common budget that all may use, at most
 	detect        float64 // s until all others know of a crash; 0: none
 	changes       int
+	excused       int     // verdicts on the living that were to be expected
 	bytes         float64 // a second and member, over the day
 	resident      float64 // MB a process, at the end
 	notes         []string
@@ -97,9 +93,8 @@
 	}
 	defer os.RemoveAll(dir)
 	ctx, cancel := context.WithCancel(ctx)
-	r := &rig{memberDay: d, program: program, dir: dir, logs: logs, client: http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
-		net:    newNetwork(ctx, links{n: n, loss: loss, rng: rand.New(rand.NewPCG(seed, 6)), free: map[[2]int]time.Duration{}}),
-		starts: map[string]*life{}, died: map[string]time.Duration{}, knew: map[string][]time.Duration{}}
+	r := newRig(ctx, d, n, loss, seed, dir, logs)
+	r.program = program
 	defer func() {
 		for _, p := range r.procs {
 			p.kill()
@@ -122,7 +117,7 @@
 func newRig(ctx context.Context, d *memberDay, n int, loss float64, seed uint64, dir string, logs io.Writer) *rig {
 	return &rig{memberDay: d, dir: dir, logs: logs, client: http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 		net:    newNetwork(ctx, links{n: n, loss: loss, rng: rand.New(rand.NewPCG(seed, 6)), free: map[[2]int]time.Duration{}}),
-		starts: map[string]*life{}, died: map[string]time.Duration{}, knew: map[string][]time.Duration{}}
+		starts: map[string]int{}, died: map[string]time.Duration{}, knew: map[string][]time.Duration{}}
 }
 
 // prepare finds addresses, opens the relays and writes the files.
@@ -203,7 +198,7 @@
 		if err == nil {
 			r.mu.Lock()
 			p.start, p.up, p.stopped = v.Self.Start, true, false
-			r.starts[p.start] = &life{p.i, true}
+			r.starts[p.start] = p.i
 			r.mu.Unlock()
 			return nil
 		}
@@ -287,9 +282,14 @@
 		r.knew[start] = append(r.knew[start], now-at)
 		return
 	}
-	if x := r.starts[start]; x != nil && x.alive && r.warm > 0 && !excused(r.excuses, now, i, x.i, len(r.procs)) {
+	of, known := r.starts[start]
+	switch {
+	case !known || !r.procs[of].up || r.procs[of].start != start || r.warm == 0:
+	case excused(r.excuses, now, i, of, len(r.procs)):
+		r.excused++
+	default:
 		r.lies++
-		r.note("%d holds %d as failed, by %s", i, x.i, line)
+		r.note("%d holds %d as failed, by %s", i, of, line)
 	}
 }
 
@@ -423,7 +423,7 @@
 			x.detect = took[len(r.procs)-2].Seconds()
 		}
 	}
-	x.lies, x.changes, x.notes = r.lies, r.changes, r.notes
+	x.lies, x.changes, x.excused, x.notes = r.lies, r.changes, r.excused, r.notes
 	return x, nil
 }
 
@@ -450,7 +450,7 @@
 			err = p.cmd.Process.Signal(syscall.SIGSTOP)
 		case kill, leave:
 			r.mu.Lock()
-			p.up, r.starts[p.start].alive = false, false
+			p.up = false
 			r.died[p.start] = r.net.now()
 			r.mu.Unlock()
 			if f.Kind == leave {
--- a/internal/lab/procs_test.go
+++ b/internal/lab/procs_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -114,11 +115,7 @@
 kind = "cut"
 who = "one 0"
 to = "but 0"
-excuses = ["one 0", "but 0"]
-[[fault]]
-kind = "cut"
-who = "but 0"
-to = "one 0"
+both = true
 excuses = ["one 0", "but 0"]
 `)
 	var logs strings.Builder
@@ -131,8 +128,8 @@
 			t.Errorf("%s: %.0f: %v", name, n, j.notes)
 		}
 	}
-	if x.lies != 0 || x.parts > 1+1e-9 || x.changes < 6 {
-		t.Errorf("%d held as failed, parts %.3f, %d news: %v", x.lies, x.parts, x.changes, x.notes)
+	if x.lies != 0 || x.parts > 1+1e-9 || x.changes < 6 || x.excused == 0 {
+		t.Errorf("%d held as failed, parts %.3f, %d news, %d verdicts across the cut: %v", x.lies, x.parts, x.changes, x.excused, x.notes)
 	}
 	if _, asked, earned := j.earned(epoch, epoch+8*sec); len(j.asks) < 200 || earned < asked/2 {
 		t.Errorf("%d requests; of %.0f asked for before the cut %.0f was earned", len(j.asks), asked, earned)
@@ -284,3 +281,23 @@
 		t.Error(err)
 	}
 }
+
+// TestLinksCut holds what passes against a cut in one direction and in both.
+func TestLinksCut(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		d := mustDay(fmt.Sprintf("about = \"x\"\nlosses = [0.0]\nlength_s = 5\n[[fault]]\nkind = \"cut\"\nwho = \"one 1\"\nto = \"one 2\"\nboth = %t", both))
+		l := links{n: 4, rng: rand.New(rand.NewPCG(1, 1)), free: map[[2]int]time.Duration{}}
+		l.begin(d.Faults[0])
+		for from := range 4 {
+			for to := range 4 {
+				want := from == 1 && to == 2 || both && from == 2 && to == 1
+				if got := l.fate(0, from, to, 100, false).lost; got != want {
+					t.Errorf("both %t: from %d to %d lost %t", both, from, to, got)
+				}
+			}
+		}
+		if l.end(d.Faults[0]); l.fate(0, 1, 2, 100, false).lost {
+			t.Error("the cut does not end")
+		}
+	}
+}
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -160,11 +159,12 @@
 }
 
 // stream passes one connection on, in the direction in which it was opened: members send nothing back on it. While the
-// link is cut, or the way back, on which what arrived is confirmed, nothing passes.
+// link is cut, or the way back, on which what arrived is confirmed, what came waits, and is lost with the stream after ten seconds.
 func (r *relay) stream(from int, conn net.Conn) {
 	defer conn.Close()
 	defer context.AfterFunc(r.net.ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(streamMost))
+	end := time.Now().Add(streamMost)
+	conn.SetDeadline(end)
 	var out net.Conn
 	b := make([]byte, streamChunk)
 	for {
@@ -175,7 +175,7 @@
 				time.Sleep(min(x.late, streamMost))
 				break
 			}
-			if r.net.ctx.Err() != nil || gone(conn) {
+			if r.net.ctx.Err() != nil || time.Now().After(end) {
 				return
 			}
 			time.Sleep(20 * time.Millisecond)
@@ -206,13 +206,3 @@
 	now := r.net.now()
 	return r.net.links.fate(now, from, r.to, size, true), r.net.links.fate(now, r.to, from, 64, true)
 }
-
-// gone says whether the sender has ended the connection.
-func gone(conn net.Conn) bool {
-	conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-	defer conn.SetReadDeadline(time.Now().Add(streamMost))
-	var b [1]byte
-	_, err := conn.Read(b[:])
-	ne, timeout := err.(net.Error)
-	return err == nil || err == io.EOF || !timeout || !ne.Timeout()
-}
--- a/internal/lab/up.go
+++ b/internal/lab/up.go
@@ -78,7 +78,7 @@
 			panic(err) // they are those of the days
 		}
 	}
-	cuts := []*memberFault{{Kind: cutOff, Who: lower, To: upper}, {Kind: cutOff, Who: upper, To: lower}}
+	halves := &memberFault{Kind: cutOff, Who: lower, To: upper, Both: true}
 	began, cut := time.Now(), false
 	for tick := time.NewTicker(time.Second); ; {
 		select {
@@ -89,12 +89,10 @@
 		}
 		at := time.Since(began)
 		now := slices.ContainsFunc(faults, func(f Fault) bool { return at >= f.At && at < f.At+f.For })
-		for _, f := range cuts {
-			if now && !cut {
-				r.net.begin(f)
-			} else if cut && !now {
-				r.net.end(f)
-			}
+		if now && !cut {
+			r.net.begin(halves)
+		} else if cut && !now {
+			r.net.end(halves)
 		}
 		cut = now
 		text := "  gateways count"
