Let no attempt begin once the client's close was seen, however busy the module's actor is

The module's own rules were ruled out: ClientGone ends a request.

A mark on the request is set before the event is posted; Begin and Waiting ask for it, a request that has it when the actor takes it is only counted, and an attempt that did not begin because of it settles as never sent.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -50,11 +50,12 @@
 func (a *Attempt) Context() context.Context { return a.ctx }
 
 // Begin is the last check before the first byte: false says that the attempt is over and must not be written.
-// It guards against sends to a host that began to drain, or for a request that ended, while it waited.
-func (a *Attempt) Begin() bool { return a.state.CompareAndSwap(waits, begun) }
+// It guards against sends to a host that began to drain, or for a request that ended, while it waited; and for one whose
+// client has left, of which the module's actor may not have heard yet.
+func (a *Attempt) Begin() bool { return !a.Request.hasLeft() && a.state.CompareAndSwap(waits, begun) }
 
 // Waiting says whether the attempt still wants a connection.
-func (a *Attempt) Waiting() bool { return a.state.Load() == waits }
+func (a *Attempt) Waiting() bool { return a.state.Load() == waits && !a.Request.hasLeft() }
 
 // Done hands in the outcome. Only the first counts, and none after the core has given the attempt up.
 func (a *Attempt) Done(o Outcome) { a.core.post(func() { a.settle(o) }) }
@@ -122,8 +123,12 @@
 	a.finish(Outcome{Result: result})
 }
 
-// settle takes the outcome that the host's connection saw.
+// settle takes the outcome that the host's connection saw. Of an attempt that did not begin as its client had left there is
+// none, and the request ends here if word of that is still on its way.
 func (a *Attempt) settle(o Outcome) {
+	if !a.closed && a.state.Load() == waits && a.Request.hasLeft() {
+		a.core.gone(a.Request)
+	}
 	if !a.closed {
 		a.finish(o)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"sync/atomic"
 	"time"
 
 	"cranegate/internal/hands"
@@ -50,6 +51,7 @@
 	// Reply takes the final answer. It is called once, by the module's actor, and must not block.
 	Reply func(Answer)
 
+	left     atomic.Bool // the client has gone; set by any goroutine, and never taken back
 	id       uint64
 	class    *rules.Class
 	deadline time.Duration
@@ -59,6 +61,9 @@
 	overdue  *timer
 }
 
+// hasLeft says whether the client has gone. A probe has none.
+func (q *Request) hasLeft() bool { return q != nil && q.left.Load() }
+
 // Effect says what a repeat of the request does; known once the request is submitted.
 func (q *Request) Effect() rules.Effect { return q.class.Effect }
 
@@ -163,8 +168,12 @@
 // Submit hands in a request. False says that the core has ended and no answer will come.
 func (c *Core) Submit(q *Request) bool { return c.post(func() { c.request(q) }) }
 
-// Gone tells that the client has left: no answer is owed.
-func (c *Core) Gone(q *Request) { c.post(func() { c.gone(q) }) }
+// Gone tells that the client has left: no answer is owed. No attempt of the request begins once it is called, however
+// long the module's actor takes to hear of it.
+func (c *Core) Gone(q *Request) {
+	q.left.Store(true)
+	c.post(func() { c.gone(q) })
+}
 
 // Members hands in news of the list.
 func (c *Core) Members(l List) { c.post(func() { c.members(l) }) }
@@ -330,6 +339,12 @@
 		q.Reply(Answer{Status: Failed})
 		return
 	}
+	c.opt.Counters.Add("requests", 1)
+	if q.hasLeft() { // while it waited for this actor: the module need not know of it
+		c.opt.Counters.Add("clients_gone", 1)
+		q.ended = true
+		return
+	}
 	c.lastID++
 	q.id, q.class = c.lastID, &c.opt.Rules.Classes[class]
 	arrived := min(c.now, c.clock.at(q.Arrived))
@@ -342,7 +357,6 @@
 		in.SinceWrite = max(1, c.now-time.Duration(q.After)*time.Millisecond)
 	}
 	c.requests[q.id] = q
-	c.opt.Counters.Add("requests", 1)
 	q.overdue = c.timers.add(q.deadline+c.opt.AnswerSlack/2, func() { c.overdue(q) })
 	c.router.Request(c.now, in)
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -37,7 +37,7 @@
 }
 
 // play runs one request against a core whose attempts are taken as given.
-func play(t *testing.T, q Request, take func(*Attempt) bool) (answers []Answer, sent []string, took time.Duration) {
+func play(t *testing.T, q *Request, take func(*Attempt) bool) (answers []Answer, sent []string, took time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		cfg := rules.Config{Gateways: 1, MaxAttempts: 6, Positions: true, ListRole: rules.ListRoleLate, MayProbe: true,
 			MayCancel: true, MayDuplicate: true, Classes: []rules.Class{
@@ -66,7 +66,7 @@
 			defer mu.Unlock()
 			answers, took = append(answers, a), time.Since(start)
 		}
-		c.Submit(&q)
+		c.Submit(q)
 		time.Sleep(5 * time.Second)
 		cancel()
 		synctest.Wait()
@@ -100,7 +100,7 @@
 // rounded up is, must not pass for no write at all.
 func TestAfterIsNeverTooLax(t *testing.T) {
 	for after, want := range map[int64]string{3: "db-0", -100: "db-0", -5000: "db-1"} {
-		answers, sent, _ := play(t, Request{Class: "own", After: after}, serve)
+		answers, sent, _ := play(t, &Request{Class: "own", After: after}, serve)
 		if len(answers) != 1 || answers[0].Status != Served || fmt.Sprint(sent) != fmt.Sprint([]string{want}) {
 			t.Errorf("after %d ms: %+v from %v, want %s", after, answers, sent, want)
 		}
@@ -122,7 +122,7 @@
 			return true
 		}, Failed},
 	} {
-		answers, sent, took := play(t, Request{Class: "put", Wait: 800 * time.Millisecond}, c.take)
+		answers, sent, took := play(t, &Request{Class: "put", Wait: 800 * time.Millisecond}, c.take)
 		if len(answers) != 1 || answers[0].Status != c.want || took > 820*time.Millisecond {
 			t.Errorf("%s: %+v after %v, sent to %v", name, answers, took, sent)
 		}
@@ -132,7 +132,7 @@
 // TestNothingIsKept guards the tables on days that go on: requests that end without an attempt were once kept for
 // ever, and so was what waited at each host that had been replaced.
 func TestNothingIsKept(t *testing.T) {
-	if answers, sent, _ := play(t, Request{Class: "own", Group: 9}, serve); len(answers) != 1 || len(sent) > 0 {
+	if answers, sent, _ := play(t, &Request{Class: "own", Group: 9}, serve); len(answers) != 1 || len(sent) > 0 {
 		t.Errorf("a group without members: %+v from %v", answers, sent)
 	}
 	synctest.Test(t, func(t *testing.T) {
