Hear answers of discovery that have no length, and take no reset for their end

Need: an answer over HTTP may have no length. get took such an answer for an error ("an answer without a length"), so a list or a drain told in this way was never heard; the watch called again, for ever. Ruled out: resets of answers with a length or in chunks, which were errors before too.

Change: without a length and without chunks the end of the connection ends the answer: a plain end, with something read, up to the longest list and within the call's deadline. A reset never does, and what was cut is no whole list. The list of words in Connection is read, HTTP/1.0 closes unless it says keep-alive, and a 503 without a length is turned away at once.

--- a/internal/list/call.go
+++ b/internal/list/call.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,7 +35,7 @@
 type turnedAway struct {
 	code  string
 	after time.Duration // the wait that it asks for, 0 for none
-	took  time.Duration // since the call was made, its connect included
+	took  time.Duration // since the call was made
 }
 
 func (e turnedAway) Error() string {
@@ -41,7 +43,8 @@
 }
 
 // get makes one HTTP/1.1 call. The body holds until the connection's next read; the second result says whether
-// the connection can be used again.
+// the connection can be used again. An answer may have no length: then the end of the connection is its own. A reset is no
+// end, and nor is one before a body has begun.
 func get(c *netbuf.Conn, host, target string) (body []byte, again bool, err error) {
 	if _, err := c.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n")); err != nil {
 		return nil, false, err
@@ -72,11 +75,14 @@
 				return nil, false, TooLong{host}
 			}
 		case "transfer-encoding":
-			chunked = value == "chunked"
+			if chunked = value == "chunked"; !chunked {
+				return nil, false, fmt.Errorf("transfer-encoding %q", value)
+			}
 		case "retry-after": // in seconds; a date is passed over, as our own wait does
 			after, _ = strconv.Atoi(value)
 		case "connection":
-			again = value != "close"
+			words := strings.FieldsFunc(value, func(r rune) bool { return r == ',' || r == ' ' })
+			again = (again || slices.Contains(words, "keep-alive")) && !slices.Contains(words, "close")
 		}
 	}
 	switch {
@@ -89,8 +95,13 @@
 			body = body[:size]
 			c.Skip(size)
 		}
+	case code != "200":
+		again = false // whatever follows, it is no list
 	default:
-		err = errors.New("an answer without a length")
+		again = false
+		if body, err = rest(c); errors.Is(err, netbuf.ErrTooLarge) {
+			err = TooLong{host}
+		}
 	}
 	if err == nil && (code == "503" || code == "429") {
 		err = turnedAway{code: code, after: time.Duration(min(max(after, 0), 3600)) * time.Second}
@@ -100,6 +111,24 @@
 	return body, again, err
 }
 
+// rest reads a body up to the end of the connection.
+func rest(c *netbuf.Conn) ([]byte, error) {
+	var body []byte
+	for {
+		b, err := c.Need(1)
+		if err == io.EOF && len(body) > 0 {
+			return body, nil
+		} else if err != nil {
+			return nil, err
+		}
+		if len(body)+len(b) > mostTold {
+			return nil, netbuf.ErrTooLarge
+		}
+		body = append(body, b...)
+		c.Skip(len(b))
+	}
+}
+
 // chunks reads a chunked body.
 func chunks(c *netbuf.Conn) ([]byte, error) {
 	var body []byte
