End connections between requests without reading what crosses the shutdown

A client sent away was shut and then read for 0.3 s, which swallowed a request that came between the last look (Alive) and the shutdown, or within that time (clients.go serve, room.go linger). One let go for another, or whose time for a message was over, was closed at once: over unread bytes that resets the connection.

Such connections are shut, and what comes then is only looked at (MSG_PEEK); the close follows the client's own, or comes after 0.3 s, after 0.05 s where a newcomer waits for the place. A client that is slow to close once let go does not have others let go in its stead. Errors still linger and read, as what follows them must not cut them off.

TestRequestCrossesTheEnd sends the bytes from within the shutdown.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -31,8 +31,6 @@
 	startFor   = 2500 * time.Millisecond // but a client that has asked nothing yet only till this long after it came,
 	firstFor   = time.Second             // or for this long
 	acceptWait = 20 * time.Millisecond   // after a failed accept
-	lingerFor  = 300 * time.Millisecond  // what follows an error that ends a connection is passed over so long,
-	mostPassed = 256 << 10               // and so much of it
 	mostFaults = 16                      // messages in a row of which nothing can be made
 	logEvery   = time.Second             // a line about clients that are at fault
 )
@@ -260,11 +258,7 @@
 	x.Charge(s.Budget)
 	err := s.talk(x)
 	x.Release()
-	if err == nil || errors.Is(err, ErrGone) || errors.Is(err, errLetGo) || errors.Is(err, errPassed) || errors.Is(err, os.ErrDeadlineExceeded) {
-		conn.Close()
-	} else { // an answer or an error was sent just before
-		linger(conn)
-	}
+	x.close(err)
 	if err != nil && !errors.Is(err, ErrGone) && !errors.Is(err, errLetGo) && !errors.Is(err, errSentAway) && !errors.Is(err, errPassed) {
 		s.fault(conn, err)
 	}
@@ -308,8 +302,9 @@
 	faults  int // messages in a row that could not be used
 
 	leaving atomic.Bool // its place is wanted: it ends unless something has come
-	resting time.Time   // since when nothing is open, zero while something is; like silent, owned by the room
+	resting time.Time   // since when nothing is open, zero while something is; like the next two, owned by the room
 	silent  bool        // and it has asked nothing yet
+	ending  bool        // it has been let go, and its place is free soon
 }
 
 // Away says whether clients are sent away: who asks whether this gateway serves is owed a no.
@@ -395,6 +390,7 @@
 	}
 	if x.server.Room.plan.Load() == nil {
 		x.server.Counters.Add(x.server.Name+"_clients_let_go", 1)
+		x.server.Room.letGo(x)
 		return errLetGo
 	}
 	x.server.Counters.Add(x.server.Name+"_clients_sent_away", 1)
--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -30,6 +30,7 @@
 	mu       sync.Mutex
 	longest  time.Duration // any client's deadline
 	sessions map[*Session]bool
+	ending   int  // of them, those that have been let go
 	keeps    bool // idle clients are not let go before there is no place left
 }
 
@@ -62,7 +63,7 @@
 		default:
 		}
 		entered, due := r.try(x, now)
-		if entered || due.IsZero() || due.After(until) || now.After(until) {
+		if entered || due.IsZero() || due.After(now) && due.After(until) || now.After(until.Add(letGoFor)) {
 			return entered
 		}
 		wait := due.Sub(now)
@@ -83,8 +84,8 @@
 	r.sessions[x] = true
 }
 
-// try gives a session a place, or asks the one to leave whose time is up first. It tells when that is; never if
-// all have something open.
+// try gives a session a place, or asks the one to leave whose time is up first, unless one is leaving. It tells when that
+// is; never if all have something open.
 func (r *Room) try(x *Session, now time.Time) (entered bool, due time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -92,6 +93,9 @@
 		r.sessions[x] = true
 		return true, now
 	}
+	if r.ending > 0 { // its client has till letGoFor to close
+		return false, now
+	}
 	var first *Session
 	for s := range r.sessions {
 		if s.resting.IsZero() {
@@ -147,6 +151,9 @@
 func (r *Room) leave(x *Session) {
 	r.mu.Lock()
 	delete(r.sessions, x)
+	if x.ending {
+		r.ending--
+	}
 	r.mu.Unlock()
 	select {
 	case r.freed <- struct{}{}:
@@ -154,6 +161,14 @@
 	}
 }
 
+// letGo says that a session ends as its place is wanted. It holds the place until its connection is closed.
+func (r *Room) letGo(x *Session) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x.ending = true
+	r.ending++
+}
+
 // rest says that a session has nothing open from now on, and work that it has.
 func (r *Room) rest(x *Session) {
 	r.mu.Lock()
@@ -252,21 +267,3 @@
 		conn.Close()
 	}
 }
-
-// linger closes a connection on which an error was sent. What the client goes on to send is passed over for a
-// while: a close with something unread would cut the error off.
-func linger(conn net.Conn) {
-	defer conn.Close()
-	half, ok := conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	conn.SetReadDeadline(time.Now().Add(lingerFor))
-	b := make([]byte, 4<<10)
-	for left := mostPassed; left > 0; {
-		n, err := conn.Read(b)
-		if left -= n; err != nil {
-			return
-		}
-	}
-}
