Answer clients that come after SIGTERM before the kill, with short deadlines too

A client that came after the stop could rest for 0.5 s, begin a message then and have 0.4 s for it and 0.4 s for the answer, whatever the longest deadline (away.go Idle, Read, Wait). With deadlines of 0.4 s the kill comes 1.1 s after SIGTERM: a request of 0.71 s was answered at 1.11 s, and one that began at 1.0 s up to 1.8 s. Requests that come over 0.7 s after SIGTERM and have no answer by the kill are lost.

A plan of a process that ends has a last moment, 0.2 s before the kill: connections of newcomers end 0.15 s before it, so long may messages come in that have begun, and waits are cut to it. The process itself goes on for 3.6 s, as answers may go out at 3.5 s.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -41,7 +41,7 @@
 	mostSockets = 1024                    // no more is used where the platform allows more
 	mostMemory  = 192                     // megabytes, likewise
 	tellFor     = 500 * time.Millisecond  // at the start, for what discovery holds; one that is silent keeps no gateway out
-	exitAfter   = 3500 * time.Millisecond // after a stop: past every deadline, and before the platform kills
+	exitAfter   = 3600 * time.Millisecond // after a stop: past every deadline, and before the platform kills
 )
 
 // gateway is the running program.
--- a/internal/clients/away/away.go
+++ b/internal/clients/away/away.go
@@ -16,6 +16,10 @@
 	readFor    = 1900 * time.Millisecond // what has begun to come in has till then; what comes 2 s on may not be held at 4 s
 	endsAfter  = 3300 * time.Millisecond // and all has its answer by then: past every deadline, and before the process ends
 	fullWait   = 3 * time.Second         // the longest deadline for which the times above stand; a shorter one shortens them
+	lastAfter  = 500 * time.Millisecond  // past the longest deadline a process that ends has answered all, 0.2 s before the kill;
+	lastFor    = 150 * time.Millisecond  // of which this is left for what has come in last,
+	leastRead  = 50 * time.Millisecond   // and this much at least for a message that has begun,
+	leastWait  = 50 * time.Millisecond   // or for an answer
 	Slots      = 16                      // the times at which idle connections end
 )
 
@@ -26,6 +30,7 @@
 	spread time.Duration // and have all ended after so much more
 	read   time.Time     // till then messages that have begun may come in; zero: for as long as at other times
 	ends   time.Time     // by then all have their answers; zero: by their own deadlines
+	last   time.Time     // and by then at the very latest, however late they came; zero where the process does not end
 	final  bool          // the process ends: clients are not taken again
 	left   bool          // another process takes them, as long as that lives
 	pass   bool          // and open connections go to it
@@ -34,19 +39,25 @@
 // Begin sends clients away from now on, until clients are taken again. The longest of their deadlines, zero for one that is
 // not known, says how soon the process may be killed: 0.7 s after that, and 3.7 s after now where it is over 3 s.
 func Begin(now time.Time, longest time.Duration) *Plan {
-	if longest <= 0 {
-		longest = fullWait
-	}
-	ends := max(endsAfter-fullWait+min(longest, fullWait), noticeFor)
+	ends := max(endsAfter-fullWait+counted(longest), noticeFor)
 	part := func(d time.Duration) time.Duration {
 		return time.Duration(float64(d) * float64(ends) / float64(endsAfter))
 	}
 	return &Plan{since: now, idle: now.Add(part(restFor)), spread: part(spreadOver), read: now.Add(part(readFor)), ends: now.Add(ends)}
 }
 
+// counted is the longest deadline as the kill counts it.
+func counted(longest time.Duration) time.Duration {
+	if longest <= 0 {
+		return fullWait
+	}
+	return min(longest, fullWait)
+}
+
 // Stop sends clients away as the process ends, after a plan that holds already or nil.
 func (p *Plan) Stop(now time.Time, longest time.Duration) *Plan {
 	x := Begin(now, longest)
+	x.last = now.Add(counted(longest) + lastAfter)
 	if x.final = true; p != nil { // the front knows it already
 		x.since, x.idle, x.spread, x.left, x.pass = p.since, p.idle, p.spread, p.left, p.pass
 	}
@@ -93,7 +104,10 @@
 	}
 	at := p.idle.Add(p.spread / Slots * time.Duration(slot))
 	if late := born.Add(newFor); born.After(p.since) && late.After(at) {
-		return late
+		at = late
+	}
+	if !p.last.IsZero() && at.After(p.last.Add(-lastFor)) {
+		return p.last.Add(-lastFor)
 	}
 	return at
 }
@@ -103,10 +117,18 @@
 	if p == nil || p.read.IsZero() || until.Before(p.read) {
 		return until
 	}
-	if least := now.Add(noticeFor); least.After(p.read) { // it has begun just now, on a connection that came late
-		return least
+	least := now.Add(noticeFor)
+	if !least.After(p.read) {
+		return p.read
 	}
-	return p.read
+	// It has begun just now, on a connection that came late.
+	if most := p.last.Add(-lastFor); !p.last.IsZero() && least.After(most) {
+		least = most
+		if floor := now.Add(leastRead); least.Before(floor) {
+			least = floor
+		}
+	}
+	return least
 }
 
 // Wait is how long a request may take that came at a time and may take so long by itself.
@@ -114,5 +136,9 @@
 	if p == nil || p.ends.IsZero() {
 		return wait
 	}
-	return min(wait, max(noticeFor, p.ends.Sub(came)))
+	wait = min(wait, max(noticeFor, p.ends.Sub(came)))
+	if !p.last.IsZero() {
+		wait = min(wait, max(leastWait, p.last.Sub(came)))
+	}
+	return wait
 }
--- a/internal/clients/away/away_test.go
+++ b/internal/clients/away/away_test.go
@@ -27,6 +27,36 @@
 	}
 }
 
+// TestNewcomersAreAnsweredBeforeTheKill holds the plan for clients that come after the stop, for as long as the listener is
+// open and some may wait for a place, against the kill: also what begins to come in as their connection was about to end,
+// and is whole as late as it may be, has its answer 0.13 s before it, and 0.07 s before the process ends itself.
+func TestNewcomersAreAnsweredBeforeTheKill(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for longest := 200 * time.Millisecond; longest <= 4*time.Second; longest += 100 * time.Millisecond {
+		kill := start.Add(min(longest, 3*time.Second) + 700*time.Millisecond)
+		for name, p := range map[string]*Plan{"at once": (*Plan)(nil).Stop(start, longest), "sent away before": Begin(start.Add(-time.Minute), longest).Stop(start, longest)} {
+			for born := start; born.Sub(start) <= 520*time.Millisecond; born = born.Add(10 * time.Millisecond) {
+				last := p.Idle(born, Slots-1)
+				if born.After(last) {
+					t.Fatalf("deadline %v, %s: who comes after %v is ended unheard", longest, name, born.Sub(start))
+				}
+				for began := born; !began.After(last); began = began.Add(10 * time.Millisecond) {
+					whole := p.Read(began, began.Add(10*time.Second))
+					if whole.Sub(began) < 50*time.Millisecond {
+						t.Fatalf("deadline %v, %s: what begins after %v has %v to come in", longest, name, began.Sub(start), whole.Sub(began))
+					}
+					for _, came := range []time.Time{began, whole} {
+						if left := kill.Sub(came.Add(p.Wait(came, longest))); left < 130*time.Millisecond && came.Sub(start) > 550*time.Millisecond {
+							t.Fatalf("deadline %v, %s: who comes after %v and asks after %v is answered %v before the kill", longest, name,
+								born.Sub(start), came.Sub(start), left)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
 // TestReturn: what held before another process took the clients holds once that is gone, unless this one ends.
 func TestReturn(t *testing.T) {
 	now := time.Unix(1000, 0)
