Take the listener's backlog before its close, and tell every client that finds no room

Run closed the listener 0.5 s after SIGTERM while clients could wait in its backlog: the accept was serial and waited up to 0.3 s in Room.enter for one client's place, so those behind waited too, and were reset by the close though the system had accepted them and they had asked (clients.go Run, accept). At a full room newcomers waited one behind the other (the fourth was told after 0.49 s), and from the ninth told at once they were closed without a word, and reset where they had written (room.go turnAway).

Eight newcomers wait for places or are told side by side; the others are told at once, and what they sent is read for 5 ms so that the close does not cut the error off. Each place that is given back wakes all that wait.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,7 +3,6 @@
 package clients
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,12 +24,10 @@
 )
 
 const (
-	stopAfter  = 500 * time.Millisecond  // after a stop, new connections go on being taken for this long
 	writeFor   = 5 * time.Second         // a client that takes no answer for this long is let go
 	messageFor = 10 * time.Second        // and so long for the whole of any message that has begun,
 	startFor   = 2500 * time.Millisecond // but a client that has asked nothing yet only till this long after it came,
 	firstFor   = time.Second             // or for this long
-	acceptWait = 20 * time.Millisecond   // after a failed accept
 	mostFaults = 16                      // messages in a row of which nothing can be made
 	logEvery   = time.Second             // a line about clients that are at fault
 )
@@ -80,7 +77,7 @@
 	group errgroup.Group // the sessions
 
 	mu       sync.Mutex
-	listener net.Listener    // of Run
+	intake   *intake         // of the listener that is open, or was last; nil before Run
 	kept     *os.File        // a duplicate of one that is closed, from which it can be opened again
 	retired  bool            // another process takes clients
 	left     chan struct{}   // closed once that is so, or nil; one is made at each change
@@ -90,72 +87,6 @@
 	logged   time.Time       // when a client at fault was logged last
 }
 
-// Run accepts clients until the context ends, and some time longer; then it closes the listener, has all clients sent
-// away, and returns once every request taken has its answer.
-func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	s.mu.Lock()
-	if s.listener = l; s.retired {
-		s.shut()
-	} else {
-		go s.accept(l)
-	}
-	s.mu.Unlock()
-	<-ctx.Done() // one that is retired before serves those on that it has
-	s.Room.Stop()
-	s.mu.Lock()
-	s.stopping = true
-	left := s.leaving()
-	s.mu.Unlock()
-	select {
-	case <-left:
-	case <-time.After(stopAfter):
-	}
-	s.mu.Lock()
-	s.ended = true
-	if !s.retired {
-		go s.listener.Close() // see accept
-	}
-	if s.kept != nil {
-		s.kept.Close()
-	}
-	s.mu.Unlock()
-	return s.group.Wait()
-}
-
-// accept takes clients until the listener is closed. Nobody waits for it: where another process that shares the socket has
-// set it to blocking, an accept may hang in the kernel, and keep Close waiting too, until one more client comes.
-func (s *Server) accept(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		} else if err != nil {
-			log.Printf("event=accept_failed front=%s error=%q", s.Name, err)
-			time.Sleep(acceptWait)
-			continue
-		}
-		s.Counters.Add(s.Name+"_clients", 1)
-		if x := s.session(conn); !s.Room.enter(x) {
-			s.Counters.Add(s.Name+"_clients_turned_away", 1)
-			s.Room.turnAway(s.Front, conn)
-		} else if !s.start(x) {
-			s.Room.leave(x)
-			conn.Close()
-		}
-	}
-}
-
-// start serves a session. False says that this server has ended.
-func (s *Server) start(x *Session) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ended {
-		return false
-	}
-	s.group.Go(func() error { s.serve(x); return nil })
-	return true
-}
-
 // TakeOver serves a connection that another process has passed on, with what it knew of it. False says that this server
 // has ended.
 func (s *Server) TakeOver(conn net.Conn, started, asked bool) bool {
@@ -167,7 +98,7 @@
 		x.proves = time.Time{}
 	}
 	s.Room.force(x)
-	if !s.start(x) {
+	if !s.spawn(func() { s.serve(x) }) {
 		s.Room.leave(x)
 		return false
 	}
@@ -183,74 +114,6 @@
 	return x
 }
 
-// Retire closes the listener: another process takes the clients that come from now on. Those here are served on.
-func (s *Server) Retire() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.retired {
-		return
-	}
-	s.retired = true
-	close(s.leaving())
-	if s.listener != nil {
-		s.shut()
-	}
-}
-
-// shut closes the listener, and keeps a duplicate of a shared one: one of its own would have clients wait in a queue that
-// nobody looks at. s.mu is held.
-func (s *Server) shut() {
-	if l, ok := s.listener.(interface{ File() (*os.File, error) }); ok && s.Shared {
-		f, err := l.File()
-		if err != nil {
-			log.Printf("event=listener_not_kept front=%s error=%q", s.Name, err)
-		}
-		s.kept = f
-	}
-	go s.listener.Close() // see accept
-}
-
-// Resume undoes Retire, as the other process is gone: clients that come wait for this one. A process that ends does not
-// listen again.
-func (s *Server) Resume() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.retired || s.stopping {
-		return nil
-	}
-	if s.listener != nil {
-		l, err := s.reopen()
-		if err != nil {
-			return fmt.Errorf("%s: listening again: %w", s.Name, err)
-		}
-		s.listener = l
-		go s.accept(l)
-	}
-	s.retired, s.left = false, nil
-	return nil
-}
-
-// reopen listens again where the listener did. s.mu is held.
-func (s *Server) reopen() (net.Listener, error) {
-	if s.kept == nil {
-		return net.Listen(s.listener.Addr().Network(), s.listener.Addr().String())
-	}
-	l, err := net.FileListener(s.kept)
-	if err == nil {
-		s.kept.Close()
-		s.kept = nil
-	}
-	return l, err
-}
-
-// leaving is the channel that Retire closes. s.mu is held.
-func (s *Server) leaving() chan struct{} {
-	if s.left == nil {
-		s.left = make(chan struct{})
-	}
-	return s.left
-}
-
 // serve lives with one connection.
 func (s *Server) serve(x *Session) {
 	defer s.Room.leave(x)
--- a/internal/clients/end.go
+++ b/internal/clients/end.go
@@ -13,6 +13,7 @@
 	letGoFor  = 50 * time.Millisecond  // and so long where a new client waits for its place
 	lingerFor = 300 * time.Millisecond // what follows an error that ends a connection is passed over so long,
 	lingerMax = 256 << 10              // and so many bytes of it
+	brushFor  = 5 * time.Millisecond   // likewise where many others are being told already
 )
 
 // close ends a session's connection, as the error of its front says.
@@ -48,12 +49,22 @@
 
 // linger shuts a connection on which an error was sent, and closes it. What the client goes on to send is passed over
 // for a while: a close with something unread would cut the error off.
-func linger(conn net.Conn) {
+func linger(conn net.Conn) { pass(conn, lingerFor) }
+
+// brush tells a client that there is no room for it, and takes no longer than a busy accept can bear.
+func brush(f Front, conn net.Conn) {
+	conn.SetWriteDeadline(time.Now().Add(brushFor))
+	f.TurnAway(conn)
+	pass(conn, brushFor)
+}
+
+// pass shuts a connection, passes over what comes for a time, and closes it.
+func pass(conn net.Conn, wait time.Duration) {
 	defer conn.Close()
 	if !shut(conn) {
 		return
 	}
-	conn.SetReadDeadline(time.Now().Add(lingerFor))
+	conn.SetReadDeadline(time.Now().Add(wait))
 	b := make([]byte, 4<<10)
 	for left := lingerMax; left > 0; {
 		n, err := conn.Read(b)
--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -1,7 +1,6 @@
 package clients
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,22 +11,23 @@
 const (
 	silentFor   = 100 * time.Millisecond // a client that has asked nothing yet gives way after this,
 	idleFor     = 250 * time.Millisecond // and another without an open request after this, the longest idle first
-	roomFor     = 300 * time.Millisecond // a new client waits so long for a place that is about to be free
+	roomFor     = 300 * time.Millisecond // a new client waits so long at most for a place that is about to be free
 	roomLook    = 10 * time.Millisecond  // and so long for the one that was asked to leave, before the next is
 	mostThinned = 4                      // idle clients that are let go for each that comes to rest
-	mostLobby   = 8                      // clients that are being turned away at once
+	mostLobby   = 8                      // clients that wait for a place or are being turned away at once
 )
 
 // Room is the places of all fronts' clients, a descriptor for each. Where none is left, a client that has nothing
 // open is let go for the next: silent and forgotten connections must not keep others out.
 type Room struct {
 	size  int
-	freed chan struct{} // holds one: a place has been given back
-	lobby chan struct{} // one for each client that is being turned away
+	lobby lobby
 
 	plan atomic.Pointer[away.Plan] // nil: clients are welcome
 
 	mu       sync.Mutex
+	freed    chan struct{} // closed as a place is given back; nil while nobody waits for that
+	waiting  int           // newcomers that do
 	longest  time.Duration // any client's deadline
 	sessions map[*Session]bool
 	ending   int  // of them, those that have been let go
@@ -36,10 +36,24 @@
 
 // NewRoom returns a room with a number of places.
 func NewRoom(size int) *Room {
-	return &Room{size: size, freed: make(chan struct{}, 1), lobby: make(chan struct{}, mostLobby),
-		sessions: map[*Session]bool{}}
+	return &Room{size: size, lobby: make(lobby, mostLobby), sessions: map[*Session]bool{}}
 }
 
+// lobby holds one for each client in it.
+type lobby chan struct{}
+
+// enter says whether there is room in the lobby.
+func (l lobby) enter() bool {
+	select {
+	case l <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l lobby) leave() { <-l }
+
 // Waits tells of a class's deadline. The longest says how soon after a stop the process may be killed.
 func (r *Room) Waits(deadline time.Duration) {
 	r.mu.Lock()
@@ -54,15 +68,30 @@
 	return max(0, 1-float64(len(r.sessions))/float64(r.size))
 }
 
-// enter gives a session a place. False says that there is none, nor will be soon.
+// take gives a session a place if there is one.
+func (r *Room) take(x *Session) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.sessions) >= r.size {
+		return false
+	}
+	r.sessions[x] = true
+	return true
+}
+
+// enter gives a session a place as soon as there is one. False says that there won't be soon.
 func (r *Room) enter(x *Session) bool {
+	r.mu.Lock()
+	r.waiting++
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.waiting--
+		r.mu.Unlock()
+	}()
 	for until := time.Now().Add(roomFor); ; {
 		now := time.Now()
-		select {
-		case <-r.freed: // of a place that try is about to see
-		default:
-		}
-		entered, due := r.try(x, now)
+		entered, due, freed := r.try(x, now)
 		if entered || due.IsZero() || due.After(now) && due.After(until) || now.After(until.Add(letGoFor)) {
 			return entered
 		}
@@ -71,7 +100,7 @@
 			wait = roomLook // one was asked to leave
 		}
 		select {
-		case <-r.freed:
+		case <-freed:
 		case <-time.After(wait):
 		}
 	}
@@ -84,17 +113,20 @@
 	r.sessions[x] = true
 }
 
-// try gives a session a place, or asks the one to leave whose time is up first, unless one is leaving. It tells when that
-// is; never if all have something open.
-func (r *Room) try(x *Session, now time.Time) (entered bool, due time.Time) {
+// try gives a session a place, or asks the one to leave whose time is up first, unless one is leaving for each newcomer that
+// waits. It tells when that is, never if all have something open, and what is closed as a place is given back.
+func (r *Room) try(x *Session, now time.Time) (entered bool, due time.Time, freed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.sessions) < r.size {
 		r.sessions[x] = true
-		return true, now
+		return true, now, nil
+	}
+	if r.freed == nil {
+		r.freed = make(chan struct{})
 	}
-	if r.ending > 0 { // its client has till letGoFor to close
-		return false, now
+	if r.ending >= r.waiting { // their clients have till letGoFor to close
+		return false, now, r.freed
 	}
 	var first *Session
 	for s := range r.sessions {
@@ -113,7 +145,7 @@
 		first.ask()
 		due = now
 	}
-	return false, due
+	return false, due, r.freed
 }
 
 // ask has a session end unless something comes. It is asked once, until it goes on.
@@ -154,11 +186,11 @@
 	if x.ending {
 		r.ending--
 	}
-	r.mu.Unlock()
-	select {
-	case r.freed <- struct{}{}:
-	default:
+	if r.freed != nil {
+		close(r.freed)
+		r.freed = nil
 	}
+	r.mu.Unlock()
 }
 
 // letGo says that a session ends as its place is wanted. It holds the place until its connection is closed.
@@ -252,18 +284,3 @@
 
 // Away says whether clients are sent away.
 func (r *Room) Away() bool { return r.plan.Load() != nil }
-
-// turnAway tells a client that there is no room for it, while not too many others are being told.
-func (r *Room) turnAway(f Front, conn net.Conn) {
-	select {
-	case r.lobby <- struct{}{}:
-		go func() {
-			defer func() { <-r.lobby }()
-			conn.SetWriteDeadline(time.Now().Add(lingerFor))
-			f.TurnAway(conn)
-			linger(conn)
-		}()
-	default:
-		conn.Close()
-	}
-}
