Look for a client's close before its request is handed to the core

The session watched for the close only after Submit: where it came to a request late (the process was busy, or the request waited in the buffer behind another's answer) the client might have gone long ago, and whether an attempt began before the session had read the end was a race. A second request behind the close was ruled out where the first is still open: the session ends with it.

Ask now looks first (netbuf.Conn.Look): one peek a request without a wait, and where something has come it is read, so that an end behind it shows. Half closes go on counting as closes.

--- /dev/null
+++ b/internal/clients/ask.go
@@ -0,0 +1,61 @@
+package clients
+
+import (
+	"errors"
+	"time"
+
+	"cranegate/internal/core"
+	"cranegate/internal/netbuf"
+)
+
+// lookEvery is how often a client is looked at that has sent so much more that its close can't be read. From its close on no
+// attempt of its request may begin after 0.1 s.
+const lookEvery = 50 * time.Millisecond
+
+// Ask hands a request to the core and waits for its answer, watching for the client's close. The id is the client's
+// own; ErrOpen says that it is that of an open request, and nothing has run. The request keeps about so many bytes
+// till then; where there is no room for them it is refused, and nothing has run.
+//
+// A client whose end has come has gone, also one that shut only its sending side: on the wire that looks the same until an
+// answer is written. What it sent behind the request is not begun then.
+func (x *Session) Ask(q *core.Request, id string, size int) (core.Answer, error) {
+	if !x.server.begin(id) {
+		return core.Answer{}, ErrOpen
+	}
+	defer x.server.end(id)
+	x.faults, x.proves, x.asked = 0, time.Time{}, true
+	if !x.server.Budget.Take(size) {
+		x.server.Counters.Add(x.server.Name+"_no_room", 1)
+		return core.Answer{Status: core.Refused}, nil
+	}
+	defer x.server.Budget.Give(size)
+	if x.Look() { // its close may have come long ago: this process may have been busy, or the request waited behind another
+		x.server.Counters.Add(x.server.Name+"_clients_gone_before", 1)
+		return core.Answer{}, ErrGone
+	}
+	answers := make(chan core.Answer, 1)
+	q.Arrived = x.arrived
+	q.Wait = x.server.Room.plan.Load().Wait(x.arrived, x.server.Core.Wait(q))
+	q.Reply = func(a core.Answer) {
+		answers <- a
+		x.Wake()
+	}
+	if !x.server.Core.Submit(q) {
+		return core.Answer{Status: core.Failed}, nil
+	}
+	for {
+		err := x.Park(time.Time{}, func() bool { return len(answers) > 0 })
+		select {
+		case a := <-answers:
+			return a, nil
+		default:
+		}
+		if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, netbuf.ErrNoRoom) { // it has sent so much more that its close can't be seen
+			return <-answers, nil
+		}
+		if err != nil {
+			x.server.Core.Gone(q)
+			return core.Answer{}, ErrGone
+		}
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -448,47 +448,6 @@
 	delete(s.open, id)
 }
 
-// Ask hands a request to the core and waits for its answer, watching for the client's close. The id is the client's
-// own; ErrOpen says that it is that of an open request, and nothing has run. The request keeps about so many bytes
-// till then; where there is no room for them it is refused, and nothing has run.
-func (x *Session) Ask(q *core.Request, id string, size int) (core.Answer, error) {
-	if !x.server.begin(id) {
-		return core.Answer{}, ErrOpen
-	}
-	defer x.server.end(id)
-	x.faults, x.proves, x.asked = 0, time.Time{}, true
-	if !x.server.Budget.Take(size) {
-		x.server.Counters.Add(x.server.Name+"_no_room", 1)
-		return core.Answer{Status: core.Refused}, nil
-	}
-	defer x.server.Budget.Give(size)
-	answers := make(chan core.Answer, 1)
-	q.Arrived = x.arrived
-	q.Wait = x.server.Room.plan.Load().Wait(x.arrived, x.server.Core.Wait(q))
-	q.Reply = func(a core.Answer) {
-		answers <- a
-		x.Wake()
-	}
-	if !x.server.Core.Submit(q) {
-		return core.Answer{Status: core.Failed}, nil
-	}
-	for {
-		err := x.Park(time.Time{}, func() bool { return len(answers) > 0 })
-		select {
-		case a := <-answers:
-			return a, nil
-		default:
-		}
-		if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, netbuf.ErrNoRoom) { // it has sent so much more that its close can't be seen
-			return <-answers, nil
-		}
-		if err != nil {
-			x.server.Core.Gone(q)
-			return core.Answer{}, ErrGone
-		}
-	}
-}
-
 // Slowly returns a writer for answers that are passed on as they come: a client may be as slow as it likes, so long as it
 // takes something.
 func (x *Session) Slowly() io.Writer { return slowly{x} }
--- /dev/null
+++ b/internal/clients/gone_test.go
@@ -0,0 +1,238 @@
+package clients_test
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cranegate/internal/mysqlwire"
+	"cranegate/internal/standin"
+)
+
+// stepped is the gateway's side of a client's connection, a real socket. Once it is held, what a read has brought reaches
+// the session only when the test lets it, as on a machine that is busy; and likewise a write goes out.
+type stepped struct {
+	*net.TCPConn
+	read, write chan chan struct{} // a read has ended, or a write is about to begin: closing what comes lets it go on
+	closed      chan struct{}
+
+	mu          sync.Mutex
+	holds       bool
+	holdsWrites bool
+	once        sync.Once
+}
+
+func (c *stepped) hold(reads, writes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holds, c.holdsWrites = reads, writes
+}
+
+func (c *stepped) pass(held *bool, at chan chan struct{}) {
+	c.mu.Lock()
+	is := *held
+	c.mu.Unlock()
+	if is {
+		goOn := make(chan struct{})
+		select {
+		case at <- goOn:
+			<-goOn
+		case <-c.closed:
+		}
+	}
+}
+
+func (c *stepped) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.pass(&c.holds, c.read)
+	return n, err
+}
+
+func (c *stepped) Write(b []byte) (int, error) {
+	c.pass(&c.holdsWrites, c.write)
+	return c.TCPConn.Write(b)
+}
+
+func (c *stepped) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.TCPConn.Close()
+}
+
+// within waits for what must come, however busy the machine is.
+func within[T any](t *testing.T, what string, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("%s: not within 10 s", what)
+	}
+	return v
+}
+
+// holds waits until something holds, however busy the machine is.
+func holds(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%s: not within 10 s", what)
+		}
+	}
+}
+
+// sockets are both ends of a connection on this machine; the gateway has not been given its own yet.
+func sockets(t *testing.T) (client *net.TCPConn, gateway *stepped) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway = &stepped{TCPConn: far.(*net.TCPConn), read: make(chan chan struct{}), write: make(chan chan struct{}),
+		closed: make(chan struct{})}
+	t.Cleanup(func() { near.Close(); gateway.Close() })
+	return near.(*net.TCPConn), gateway
+}
+
+// endHasCome waits until the gateway's system has the client's end, or its reset.
+func (c *stepped) endHasCome(t *testing.T) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds(t, "the client's end", func() bool {
+		const closed, closeWait = 7, 8
+		var state uint8
+		if raw.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				state = info.State
+			}
+		}) != nil {
+			return true // the gateway has closed it already
+		}
+		return state == closed || state == closeWait
+	})
+}
+
+// ends are the ways in which a client goes.
+var ends = map[string]func(*net.TCPConn){
+	"close":      func(c *net.TCPConn) { c.Close() },
+	"half close": func(c *net.TCPConn) { c.CloseWrite() },
+	"reset":      func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+}
+
+// login connects a client by sockets. It has said who it is and is welcome.
+func (r *rig) login(t *testing.T) (*net.TCPConn, *stepped) {
+	t.Helper()
+	client, gateway := sockets(t)
+	r.pipes.conns <- gateway
+	var err error
+	if r.mysql {
+		_, err = standin.DialMySQL(client, 0)
+	} else {
+		_, err = standin.DialPostgres(client, "")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client, gateway
+}
+
+// request is one on the wire. Its key is its id.
+func (r *rig) request(class, id, behind string) string {
+	text := "/* id=" + id + ",c=" + class + ",d=1000,cluster=4 */ " + verbs[class] + "'" + id + "'" + behind
+	if r.mysql {
+		return packet(mysqlwire.ComQuery, text)
+	}
+	return pgQuery(text)
+}
+
+// end ends a rig on the system's clock.
+func (r *rig) end() {
+	r.stop()
+	<-r.ended
+	r.kill()
+	r.pool.Wait()
+}
+
+// onSockets runs a test on either front, once for each way to go.
+func onSockets(t *testing.T, test func(t *testing.T, mysqlFront bool, end func(*net.TCPConn))) {
+	for _, mysqlFront := range []bool{false, true} {
+		for name, end := range ends {
+			t.Run(fmt.Sprintf("mysql=%v,%s", mysqlFront, name), func(t *testing.T) { t.Parallel(); test(t, mysqlFront, end) })
+		}
+	}
+}
+
+// TestCloseBehindWhatIsReadLate has a client pipeline two requests and go, all before its session gets to see the first of
+// them: neither is begun, though the session reads the end only after an attempt has had all the time to begin.
+func TestCloseBehindWhatIsReadLate(t *testing.T) {
+	onSockets(t, func(t *testing.T, mysqlFront bool, end func(*net.TCPConn)) {
+		began := make(chan string, 10)
+		host := &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act { began <- id; return standin.Serve }}
+		r := newRig(mysqlFront, host)
+		t.Cleanup(r.end) // after the connections were closed
+		client, gateway := r.login(t)
+		gateway.hold(true, false)
+		fmt.Fprint(client, r.request("look", "q1", "")+r.request("look", "q2", ""))
+		read := within(t, "the requests", gateway.read)
+		end(client)
+		gateway.endHasCome(t)
+		close(read)
+		noneBegins(t, gateway, began)
+	})
+}
+
+// TestCloseWhileTheAnswerGoesOut has a client go that has pipelined a second request, while the answer to its first is being
+// written: the second is not begun.
+func TestCloseWhileTheAnswerGoesOut(t *testing.T) {
+	onSockets(t, func(t *testing.T, mysqlFront bool, end func(*net.TCPConn)) {
+		began := make(chan string, 10)
+		host := &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act { began <- id; return standin.Serve }}
+		r := newRig(mysqlFront, host)
+		t.Cleanup(r.end) // after the connections were closed
+		client, gateway := r.login(t)
+		gateway.hold(false, true)
+		fmt.Fprint(client, r.request("look", "q1", "")+r.request("look", "q2", ""))
+		if id := within(t, "the first attempt", began); id != "q1" {
+			t.Fatalf("%s begins first", id)
+		}
+		write := within(t, "the answer", gateway.write)
+		gateway.hold(true, false)
+		end(client)
+		gateway.endHasCome(t)
+		close(write)
+		noneBegins(t, gateway, began)
+	})
+}
+
+// noneBegins waits for a session's end. No attempt may begin till then, whatever the session reads late.
+func noneBegins(t *testing.T, gateway *stepped, began chan string) {
+	t.Helper()
+	select {
+	case <-gateway.closed:
+	case id := <-began:
+		t.Errorf("%s begins after its client has gone", id)
+	case <-time.After(10 * time.Second):
+		t.Error("the client's end is not seen")
+	}
+	gateway.hold(false, false)
+	gateway.Close()
+	select {
+	case id := <-began:
+		t.Errorf("%s begins after its client has gone", id)
+	default:
+	}
+}
--- a/internal/clients/rig_test.go
+++ b/internal/clients/rig_test.go
@@ -67,6 +67,7 @@
 	mysql    bool
 	hosts    []*standin.Host
 	down     []atomic.Bool // refuses connections
+	opening  func()        // called as a connection to a host is asked for; nil does nothing
 	core     *core.Core
 	pool     *servers.Pool
 	counters *stats.Counters
@@ -137,6 +138,9 @@
 func (r *rig) dial(_ context.Context, address string) (net.Conn, error) {
 	var i int
 	fmt.Sscanf(address, "db-%d", &i)
+	if r.opening != nil {
+		r.opening()
+	}
 	if r.down[i].Load() {
 		return nil, errors.New("connection refused")
 	}
