Watch a client's close also behind more than is read of it

Where a client had sent more than its buffer holds behind an open request, or no memory was left to let the buffer grow, Ask stopped watching and waited for the answer (its branch for ErrTooLarge and ErrNoRoom): the close was not seen and attempts went on till the deadline. Throwing bytes away to read on was ruled out, as requests that were taken would be lost.

The end behind unread bytes shows in TCP_INFO, a reset in SO_ERROR; where the system tells neither, or its receive buffer is too full to take the end in, it is as before. `<front>_looks_past_unread` counts the looks.

--- a/internal/clients/ask.go
+++ b/internal/clients/ask.go
@@ -50,8 +50,12 @@
 			return a, nil
 		default:
 		}
-		if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, netbuf.ErrNoRoom) { // it has sent so much more that its close can't be seen
-			return <-answers, nil
+		if errors.Is(err, netbuf.ErrTooLarge) || errors.Is(err, netbuf.ErrNoRoom) {
+			if a, ok := x.unread(answers); ok {
+				return a, nil
+			} else if !x.Left() {
+				continue // by now there may be room
+			}
 		}
 		if err != nil {
 			x.server.Core.Gone(q)
@@ -59,3 +63,17 @@
 		}
 	}
 }
+
+// unread waits for the answer for a while where the client has sent so much more that no read can tell of its close: its
+// buffer is full, or there is no memory to let it grow. What was sent stays where it is and is answered in its turn.
+func (x *Session) unread(answers <-chan core.Answer) (a core.Answer, ok bool) {
+	x.server.Counters.Add(x.server.Name+"_looks_past_unread", 1)
+	look := time.NewTimer(lookEvery)
+	defer look.Stop()
+	select {
+	case a = <-answers:
+		return a, true
+	case <-look.C:
+		return a, false
+	}
+}
--- a/internal/clients/gone_test.go
+++ b/internal/clients/gone_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,8 @@
 	"golang.org/x/sys/unix"
 
 	"cranegate/internal/mysqlwire"
+	"cranegate/internal/netbuf"
+	"cranegate/internal/pgwire"
 	"cranegate/internal/standin"
 )
 
@@ -236,3 +239,79 @@
 	default:
 	}
 }
+
+// TestCloseBehindMoreThanIsRead has a client go behind more than the gateway reads while the client's request is open: its
+// buffer is full, or there is no memory left. The request ends as one whose client has gone, and nothing more is sent for it.
+func TestCloseBehindMoreThanIsRead(t *testing.T) {
+	for _, budget := range []bool{false, true} {
+		onSockets(t, func(t *testing.T, mysqlFront bool, end func(*net.TCPConn)) {
+			began, release := make(chan string, 10), make(chan struct{})
+			host := &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act {
+				began <- id
+				<-release
+				return standin.Full // another attempt may follow
+			}}
+			r := newRig(mysqlFront, host)
+			t.Cleanup(r.end)
+			client, gateway := r.login(t)
+			gateway.SetReadBuffer(1 << 20) // all that comes, and the end behind it, is taken in by the system
+			client.SetWriteBuffer(1 << 20)
+			fmt.Fprint(client, r.request("look", "q1", ""))
+			if id := within(t, "the first attempt", began); id != "q1" {
+				t.Fatalf("%s begins first", id)
+			}
+			size := 250 << 10
+			if budget {
+				if size = 8 << 10; !r.budget.Take(rigBudget - 1<<10) {
+					t.Fatal("the budget is taken already")
+				}
+				defer r.budget.Give(rigBudget - 1<<10)
+			}
+			client.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			if _, err := client.Write([]byte(strings.Repeat(r.request("look", "q2", strings.Repeat(" ", 1<<10)), size>>10))); err != nil {
+				t.Fatal(err)
+			}
+			holds(t, "unread bytes", func() bool { return r.counters.Get("test_looks_past_unread") > 0 })
+			end(client)
+			gateway.endHasCome(t)
+			within(t, "the end of the session", gateway.closed)
+			c := r.counters
+			holds(t, "the end of the request", func() bool { return c.Get("clients_gone")+c.Get("refused")+c.Get("failed") > 0 })
+			close(release)
+			if c.Get("clients_gone") != 1 || c.Get("requests") != 1 || c.Get("attempts") != 1 || len(began) > 0 {
+				t.Errorf("%d further attempts began: %s", len(began), c)
+			}
+		})
+	}
+}
+
+// TestPipelinedPastTheBuffer has a client that stays send more than is read while its request is open: each request has its
+// answer.
+func TestPipelinedPastTheBuffer(t *testing.T) {
+	const more = 12
+	release, begun := make(chan struct{}), make(chan struct{}, more+1)
+	host := &standin.Host{Primary: true, Act: func(string, string, bool) standin.Act {
+		begun <- struct{}{}
+		<-release
+		return standin.Serve
+	}}
+	r := newRig(false, host)
+	t.Cleanup(r.end)
+	client, gateway := r.login(t)
+	gateway.SetReadBuffer(1 << 20)
+	var out strings.Builder
+	for i := range more + 1 {
+		out.WriteString(r.request("look", fmt.Sprint("q", i), strings.Repeat(" ", 30<<10)))
+	}
+	go fmt.Fprint(client, out.String())
+	within(t, "the first attempt", begun)
+	holds(t, "unread bytes", func() bool { return r.counters.Get("test_looks_past_unread") > 1 })
+	close(release)
+	c := standin.PostgresClient{Conn: netbuf.New(client, pgwire.MaxMessage)}
+	client.SetReadDeadline(time.Now().Add(20 * time.Second))
+	for i := range more + 1 {
+		if a, err := c.Read(); err != nil || a.Value != fmt.Sprint("value of q", i) {
+			t.Fatalf("answer %d: %+v, %v", i, a, err)
+		}
+	}
+}
