Take an error behind a part of a result for one of a statement that had begun

An error that means that nothing has run (53300, 25006, 72000; 1040, 1290 and others with MySQL) was believed wherever it came: also behind a description, columns or a row, and with PostgreSQL also where noise followed in place of Ready. A statement that may run once was then sent again after it had begun; MySQL's 1243 in mid-result even executed again on the same connection. At fault: reply.take and outcome, and the error branch of Conn.result and of execute.

Such an error now counts as ResultError, noise behind an error as ResultSpoilt: it may have run. Alone, or followed by the connection's end, it still means never, and the statement is sent on.

--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -266,7 +266,7 @@
 		}
 		c.SetReadDeadline(time.Time{})
 		r, e, err := c.result(true)
-		if e != nil && e.Code == errUnknownStatement && ok {
+		if e != nil && r == nil && e.Code == errUnknownStatement && ok {
 			c.forget(command.Statement) // prepared here long ago; the next round prepares it anew
 			continue
 		}
@@ -337,7 +337,8 @@
 	return out, nil
 }
 
-// result reads what a statement brings: an OK, an error, or rows.
+// result reads what a statement brings: an OK, an error, or rows. An error beside a result broke the rows off: the
+// statement had begun.
 func (c *Conn) result(binary bool) (*mysqlwire.Result, *mysqlwire.Error, error) {
 	c.seq = 1
 	b, err := c.packet()
@@ -372,7 +373,7 @@
 		}
 		if len(b) > 0 && b[0] == mysqlwire.HeadErr {
 			e, err := mysqlwire.ParseErr(b)
-			return nil, &e, err
+			return r, &e, err
 		}
 		if mysqlwire.IsEOF(b, c.caps) {
 			if c.caps&mysqlwire.CapDeprecateEOF != 0 {
@@ -415,6 +416,9 @@
 // outcome adds what the host told of itself.
 func (c *Conn) outcome(a *core.Attempt, r *mysqlwire.Result, e *mysqlwire.Error, err error) core.Outcome {
 	o := core.Outcome{Result: result(e, err)}
+	if err == nil && e != nil && r != nil { // whatever the code says
+		o.Result = rules.ResultError
+	}
 	if o.Result != rules.ResultOK {
 		return o
 	}
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -113,8 +113,8 @@
 		}
 		if err != nil {
 			stop()
-			if r.code != "" { // a fatal error needs no Ready
-				return r.outcome(a), false
+			if r.code != "" && !errors.Is(err, pgwire.ErrMalformed) && !errors.Is(err, netbuf.ErrTooLarge) {
+				return r.outcome(a), false // a fatal error needs no Ready
 			}
 			if servers.Spoilt(err, pgwire.ErrMalformed) {
 				return core.Outcome{Result: rules.ResultSpoilt}, false
@@ -168,6 +168,7 @@
 	rows     int
 	complete bool
 	code     string
+	began    bool // the error came after a part of a result
 	names    []string
 	streamed bool        // its row has passed to the client
 	tail     chan []byte // streamed: takes what follows the row
@@ -215,7 +216,7 @@
 		if r.code = string(pgwire.Field(body, 'C')); len(r.code) != 5 {
 			return fmt.Errorf("error: %w", pgwire.ErrMalformed)
 		}
-		r.step = completed
+		r.began, r.step = r.step != opens, completed
 	case kind == 'Z' && r.step == completed && len(body) == 1:
 		if r.step = ended; r.streamed && r.complete {
 			r.tail <- r.value
@@ -226,10 +227,13 @@
 	return nil
 }
 
-// outcome is the protocol's table of what comes back.
+// outcome is the protocol's table of what comes back. Whatever the code, an error behind a part of a result is one of a
+// statement that had begun.
 func (r *reply) outcome(a *core.Attempt) core.Outcome {
 	o := core.Outcome{Role: r.note.Role, Position: r.note.Position, Report: r.note.Report}
 	switch {
+	case r.began:
+		o.Result = rules.ResultError
 	case r.code == codeReadOnly, r.code == codeBehind:
 		o.Result = rules.ResultMiss
 	case r.code == codeTurnedAway, r.code == codeNotNow && a.Request == nil:
