Share out the descriptors that there are, whatever the limit

Need: idle clients may fill the descriptors while discovery is down. What was set aside was a fixed 64 (gateway.go, reserve and forChecks), whatever the limit: from 66 down clients and hosts got one each while 24 callers of the second address could still come, and the sum was over the limit; the system's own limit on open files was not read at all, so that with 1,024 in the configuration and 100 allowed 480 places were given out, every accept and connect failed, and nobody was served. Ruled out: limits of 128 and more that the system allows; the same crowd leaves discovery its room there.

Change: share, in descriptors.go, counts what each part holds at most and gives the rest to clients, those that are being turned away and hosts; callers of the second address and the lobby shrink with small limits; the system's limit counts where it is lower; too low a limit is told at the start, as TooFewDescriptors. With 1,024 clients and hosts get 482 each (480 before).

Measured: TestIdleClientsTakeNoRoomFromDiscovery starts the program with limits of 40, 64, 128 and 1,024 of which 100 are allowed, hundreds of idle clients and stalled callers, discovery down and back: at most 29, 44, 80 and 67 descriptors open, the list heard, a request served. Without the change the last fails, 5 of 5 tries, and TestDescriptorsAddUp 20 of 20; with it both passed 20 of 20 under -race beside other work.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -35,13 +35,9 @@
 )
 
 const (
-	reserve     = 32                      // descriptors for the list, the listeners, turning away and the runtime
-	forChecks   = 32                      // and for the balancers' checks, where there are any
-	forPeers    = 32                      // and for the other gateways
-	mostSockets = 1024                    // no more is used where the platform allows more
-	mostMemory  = 192                     // megabytes, likewise
-	tellFor     = 500 * time.Millisecond  // at the start, for what discovery holds; one that is silent keeps no gateway out
-	exitAfter   = 3500 * time.Millisecond // after a stop: past every deadline, and before the platform kills
+	mostMemory = 192                     // megabytes; no more is used where the platform allows more
+	tellFor    = 500 * time.Millisecond  // at the start, for what discovery holds; one that is silent keeps no gateway out
+	exitAfter  = 3500 * time.Millisecond // after a stop: past every deadline, and before the platform kills
 )
 
 // gateway is the running program.
@@ -51,6 +47,7 @@
 	room     *clients.Room  // descriptors for clients
 	budget   *netbuf.Budget // bytes for what clients send
 	servers  int            // descriptors for the database hosts of each protocol
+	staff    int            // callers at the second address at once
 	stop     context.Context
 	work     context.Context     // outlives stop: what was taken is still answered
 	actors   *errgroup.Group     // live as long as work
@@ -101,28 +98,18 @@
 	if limits.MemoryMB <= 0 || limits.MemoryMB > mostMemory {
 		limits.MemoryMB = mostMemory
 	}
-	if limits.Sockets <= 0 || limits.Sockets > mostSockets {
-		limits.Sockets = mostSockets
-	}
 	runtime.GOMAXPROCS(max(1, int(limits.Cores+0.5)))
 	debug.SetMemoryLimit(int64(limits.MemoryMB) << 20 * 3 / 4) // the rest is for what the runtime does not count
 
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	kept := reserve
-	if o != nil {
-		kept += forChecks
-	}
-	if o != nil && o.Fleet != nil {
-		kept += forPeers
-	}
-	if p != nil && p.Admin != "" {
-		kept += forChecks
+	d, err := share(limits, openFiles(), len(fleets), p != nil && p.Admin != "", o != nil, o != nil && o.Fleet != nil)
+	if err != nil {
+		return err
 	}
-	half := max(1, (limits.Sockets-kept)/2)
-	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, room: clients.NewRoom(half),
-		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: max(1, half/max(1, len(fleets))), stop: stop, work: work, fronts: &errgroup.Group{},
-		lists: map[string]followed{}, limits: limits, handed: handed{places: half}}
+	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, room: clients.NewRoom(d.clients),
+		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: d.servers, staff: d.staff, stop: stop, work: work, fronts: &errgroup.Group{},
+		lists: map[string]followed{}, limits: limits, handed: handed{places: d.clients}}
 	g.actors, _ = errgroup.WithContext(work)
 	g.status.Free = g.room.Free
 	g.actors.Go(func() error { g.logOnRequest(counters); return nil })
@@ -175,7 +162,7 @@
 	g.actors.Go(func() error { g.reloads(changed, reread); return nil })
 	g.status.Set(balancers.Ready)
 	g.passOn()
-	log.Printf("event=serving fronts=%d memory_mb=%d sockets=%d", len(fleets), limits.MemoryMB, limits.Sockets)
+	log.Printf("event=serving fronts=%d memory_mb=%d sockets=%d clients=%d servers=%d", len(fleets), limits.MemoryMB, d.limit, d.clients, d.servers)
 	<-stop.Done()
 	g.status.Set(balancers.Draining)
 	log.Printf("event=stopping")
--- a/cmd/cranegate/second.go
+++ b/cmd/cranegate/second.go
@@ -33,7 +33,7 @@
 )
 
 // second starts the second address, where staff ask and act.
-func (g *gateway) second(address string) error { return g.calls("second", address, mostAtSecond) }
+func (g *gateway) second(address string) error { return g.calls("second", address, g.staff) }
 
 // admin starts the operator's own second address, for the command line.
 func (g *gateway) admin(address string) error { return g.calls("admin", address, mostAtAdmin) }
--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -15,7 +15,7 @@
 	roomFor     = 300 * time.Millisecond // a new client waits so long for a place that is about to be free
 	roomLook    = 10 * time.Millisecond  // and so long for the one that was asked to leave, before the next is
 	mostThinned = 4                      // idle clients that are let go for each that comes to rest
-	mostLobby   = 8                      // clients that are being turned away at once
+	mostLobby   = 8                      // clients that are being turned away at once, in a room of 32 places or more
 )
 
 // Room is the places of all fronts' clients, a descriptor for each. Where none is left, a client that has nothing
@@ -35,10 +35,13 @@
 
 // NewRoom returns a room with a number of places.
 func NewRoom(size int) *Room {
-	return &Room{size: size, freed: make(chan struct{}, 1), lobby: make(chan struct{}, mostLobby),
+	return &Room{size: size, freed: make(chan struct{}, 1), lobby: make(chan struct{}, Lobby(size)),
 		sessions: map[*Session]bool{}}
 }
 
+// Lobby is how many clients a room of so many places turns away at once. Each of them holds a descriptor beside the places.
+func Lobby(size int) int { return max(1, min(mostLobby, size/4)) }
+
 // Waits tells of a class's deadline. The longest says how soon after a stop the process may be killed.
 func (r *Room) Waits(deadline time.Duration) {
 	r.mu.Lock()
