Let idle clients give way where another process's clients come on top

Need: Room.force gave a place to every client that an older process passes on, also where there was none. With all places of both processes held by idle clients the newer one held twice as many as it has, which together with its connections to hosts is more than its limit; discovery's connection would be the next to find none.

Change: where a client that is passed on is one too many, the one that has rested longest is let go. It sees a plain end between requests; one with a request open never is, and what has come by then is taken.

--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -79,11 +79,23 @@
 	}
 }
 
-// force gives a session a place, also where there is none: it held one in another process till now.
+// force gives a session a place, also where there is none: it held one in another process till now. The one that has rested
+// longest gives way for it then: two processes' idle clients must not take the descriptors of all else.
 func (r *Room) force(x *Session) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sessions[x] = true
+	over, first := len(r.sessions)-r.size, (*Session)(nil)
+	for s := range r.sessions {
+		if s.leaving.Load() {
+			over--
+		} else if !s.resting.IsZero() && (first == nil || s.resting.Before(first.resting)) {
+			first = s
+		}
+	}
+	if over > 0 && first != nil {
+		first.ask()
+	}
 }
 
 // try gives a session a place, or asks the one to leave whose time is up first. It tells when that is; never if
