Start fronts side by side, and hold what a start may take

Need: nine in ten restarts are ready within 10 s. Read in gateway.go: fleets were followed and served one after the other, so a front whose list did not come (no list in the file, discovery down) kept the other out for as long, and each waited its own 0.5 s for what discovery holds.

Change: all watches begin at once, fronts start side by side, and the 0.5 s count once for all. Without a list a front still does not listen: it would be taken in beside gateways that serve, and refuse all.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -138,9 +138,23 @@
 	if err := g.takeOver(); err != nil {
 		return err
 	}
+	since := time.Now()
 	for _, f := range fleets {
-		if err := g.serve(f); err != nil {
-			return fmt.Errorf("serving %s: %w", f.name, err)
+		g.follow(f)
+	}
+	started := make(chan error, len(fleets)) // side by side: one whose list does not come keeps no other out
+	for _, f := range fleets {
+		go func() {
+			err := g.serve(f, since)
+			if err != nil {
+				err = fmt.Errorf("serving %s: %w", f.name, err)
+			}
+			started <- err
+		}()
+	}
+	for range fleets {
+		if err := <-started; err != nil {
+			return err
 		}
 	}
 	if o != nil && o.Fleet != nil {
@@ -280,8 +294,8 @@
 	return nil
 }
 
-// serve follows the list of one fleet, and starts its front once the module can serve.
-func (g *gateway) serve(f fleet) error {
+// follow follows the list of one fleet.
+func (g *gateway) follow(f fleet) {
 	x := g.lists[f.name]
 	if len(f.known.Targets) > 0 {
 		x.core.Members(f.known.List(rules.ListStale))
@@ -290,6 +304,12 @@
 		x.core.Learn(l)
 	}
 	g.actors.Go(func() error { return x.watch.Run(g.work) })
+}
+
+// serve starts the front of a fleet that is followed since a time, once the module can serve. Without any list it can't, and
+// nobody comes: a gateway that refuses all would be taken in beside others that serve.
+func (g *gateway) serve(f fleet, since time.Time) error {
+	x := g.lists[f.name]
 	select {
 	case <-x.core.Ready():
 	case <-g.stop.Done():
@@ -297,7 +317,7 @@
 	}
 	select { // what discovery holds binds from the first moment of a process, whatever the file says is known
 	case <-x.watch.Tried():
-	case <-time.After(tellFor):
+	case <-time.After(time.Until(since.Add(tellFor))):
 	case <-g.stop.Done():
 		return nil
 	}
