--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -14,7 +14,7 @@
 	roomFor     = 300 * time.Millisecond // a new client waits so long at most for a place that is about to be free
 	roomLook    = 10 * time.Millisecond  // and so long for the one that was asked to leave, before the next is
 	mostThinned = 4                      // idle clients that are let go for each that comes to rest
-	mostLobby   = 8                      // clients that wait for a place or are being turned away at once
+	mostLobby   = 8                      // clients that wait for a place or are being turned away at once, in a room of 32 or more
 )
 
 // Room is the places of all fronts' clients, a descriptor for each. Where none is left, a client that has nothing
@@ -36,7 +36,7 @@
 
 // NewRoom returns a room with a number of places.
 func NewRoom(size int) *Room {
-	return &Room{size: size, lobby: make(lobby, mostLobby), sessions: map[*Session]bool{}}
+	return &Room{size: size, lobby: make(lobby, Lobby(size)), sessions: map[*Session]bool{}}
 }
 
 // lobby holds one for each client in it.
@@ -54,6 +54,9 @@
 
 func (l lobby) leave() { <-l }
 
+// Lobby is how many clients a room of so many places turns away at once. Each of them holds a descriptor beside the places.
+func Lobby(size int) int { return max(1, min(mostLobby, size/4)) }
+
 // Waits tells of a class's deadline. The longest says how soon after a stop the process may be killed.
 func (r *Room) Waits(deadline time.Duration) {
 	r.mu.Lock()
@@ -106,11 +109,23 @@
 	}
 }
 
-// force gives a session a place, also where there is none: it held one in another process till now.
+// force gives a session a place, also where there is none: it held one in another process till now. The one that has rested
+// longest gives way for it then: two processes' idle clients must not take the descriptors of all else.
 func (r *Room) force(x *Session) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sessions[x] = true
+	over, first := len(r.sessions)-r.size, (*Session)(nil)
+	for s := range r.sessions {
+		if s.leaving.Load() {
+			over--
+		} else if !s.resting.IsZero() && (first == nil || s.resting.Before(first.resting)) {
+			first = s
+		}
+	}
+	if over > 0 && first != nil {
+		first.ask()
+	}
 }
 
 // try gives a session a place, or asks the one to leave whose time is up first, unless one is leaving for each newcomer that
