Look at the client right before an attempt of a request that has waited begins

From a client's close to the mark on its request its session has to run: where it is late to (a busy process, a session that waits for room in the module's mailbox) an attempt that waited for a connection, sat in a host's mailbox or came from the held queue began for a client that had gone long ago. The host's queue was ruled out: it asks Waiting, then Begin.

Begin now looks at the client's connection where the request is older than 20 ms, one recvfrom (three calls behind unread bytes); it doesn't wait and takes no bytes.

--- a/internal/clients/ask.go
+++ b/internal/clients/ask.go
@@ -36,6 +36,7 @@
 	answers := make(chan core.Answer, 1)
 	q.Arrived = x.arrived
 	q.Wait = x.server.Room.plan.Load().Wait(x.arrived, x.server.Core.Wait(q))
+	q.Left = x.Left
 	q.Reply = func(a core.Answer) {
 		answers <- a
 		x.Wake()
--- a/internal/clients/gone_test.go
+++ b/internal/clients/gone_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,7 +44,10 @@
 		goOn := make(chan struct{})
 		select {
 		case at <- goOn:
-			<-goOn
+			select {
+			case <-goOn:
+			case <-c.closed:
+			}
 		case <-c.closed:
 		}
 	}
@@ -315,3 +319,65 @@
 		}
 	}
 }
+
+// TestCloseBeforeTheLastGate has a client go whose request waits for a connection, and keeps its session from reading of it:
+// the attempt does not begin once the connection is there.
+func TestCloseBeforeTheLastGate(t *testing.T) {
+	onSockets(t, func(t *testing.T, mysqlFront bool, end func(*net.TCPConn)) {
+		began := make(chan string, 10)
+		host := &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act { began <- id; return standin.Serve }}
+		r := newRig(mysqlFront, host)
+		t.Cleanup(r.end)
+		opening, open := make(chan struct{}, 100), make(chan struct{})
+		r.opening = func() { opening <- struct{}{}; <-open }
+		client, gateway := r.login(t)
+		asked := time.Now()
+		fmt.Fprint(client, r.request("look", "q1", ""))
+		within(t, "an attempt that waits for a connection", opening)
+		gateway.hold(true, false)
+		end(client)
+		gateway.endHasCome(t)
+		within(t, "the read of the end", gateway.read) // goes no further
+		holds(t, "some time", func() bool { return time.Since(asked) > 50*time.Millisecond })
+		close(open)
+		c := r.counters
+		holds(t, "the end of the attempt", func() bool { return len(began) > 0 || c.Get("clients_gone")+c.Get("refused") > 0 })
+		if len(began) > 0 || c.Get("attempts_ok") > 0 {
+			t.Errorf("%s begins after its client has gone: %s", <-began, c)
+		}
+		gateway.hold(false, false)
+	})
+}
+
+// TestManyCloseAtOnce has a hundred clients go at once whose requests wait for connections: none begins.
+func TestManyCloseAtOnce(t *testing.T) {
+	const clients = 100
+	var began atomic.Int64
+	host := &standin.Host{Primary: true, Act: func(string, string, bool) standin.Act { began.Add(1); return standin.Serve }}
+	r := newRigFor(2*clients, 1, false, host)
+	t.Cleanup(r.end)
+	open := make(chan struct{})
+	r.opening = func() { <-open }
+	var all []*net.TCPConn
+	var gateways []*stepped
+	for range clients {
+		client, gateway := r.login(t)
+		all, gateways = append(all, client), append(gateways, gateway)
+	}
+	for i, client := range all {
+		fmt.Fprint(client, r.request("look", fmt.Sprint("q", i), ""))
+	}
+	c := r.counters
+	holds(t, "the requests", func() bool { return c.Get("requests") == clients })
+	for _, client := range all {
+		client.Close()
+	}
+	for _, gateway := range gateways {
+		within(t, "the end of a session", gateway.closed)
+	}
+	close(open)
+	holds(t, "the ends of the requests", func() bool { return c.Get("clients_gone")+c.Get("refused")+c.Get("failed") == clients })
+	if c.Get("clients_gone") == 0 || began.Load() > 0 {
+		t.Errorf("%d attempts began: %s", began.Load(), c)
+	}
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -51,8 +51,8 @@
 
 // Begin is the last check before the first byte: false says that the attempt is over and must not be written.
 // It guards against sends to a host that began to drain, or for a request that ended, while it waited; and for one whose
-// client has left, of which the module's actor may not have heard yet.
-func (a *Attempt) Begin() bool { return !a.Request.hasLeft() && a.state.CompareAndSwap(waits, begun) }
+// client has left, of which the module's actor, or even the client's session, may not have heard yet.
+func (a *Attempt) Begin() bool { return !a.Request.leaves() && a.state.CompareAndSwap(waits, begun) }
 
 // Waiting says whether the attempt still wants a connection.
 func (a *Attempt) Waiting() bool { return a.state.Load() == waits && !a.Request.hasLeft() }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,9 @@
 	Repeat  bool
 	Payload any // the statement, in its protocol's form
 
+	// Left says whether the client has gone by now. It is called by any goroutine and must not block; nil: only Gone tells.
+	Left func() bool
+
 	// Reply takes the final answer. It is called once, by the module's actor, and must not block.
 	Reply func(Answer)
 
@@ -61,9 +64,21 @@
 	overdue  *timer
 }
 
-// hasLeft says whether the client has gone. A probe has none.
+// hasLeft says whether the client is known to have gone. A probe has none.
 func (q *Request) hasLeft() bool { return q != nil && q.left.Load() }
 
+// lookAfter is how long a request may be out before its client is looked at right before an attempt begins. It was looked at
+// when the request came; from a client's close on 0.1 s may pass.
+const lookAfter = 20 * time.Millisecond
+
+// leaves looks whether the client has gone, where its close may not have been heard of yet.
+func (q *Request) leaves() bool {
+	if q != nil && q.Left != nil && !q.left.Load() && time.Since(q.Arrived) > lookAfter && q.Left() {
+		q.left.Store(true)
+	}
+	return q.hasLeft()
+}
+
 // Effect says what a repeat of the request does; known once the request is submitted.
 func (q *Request) Effect() rules.Effect { return q.class.Effect }
 
--- a/internal/netbuf/left.go
+++ b/internal/netbuf/left.go
@@ -1,7 +1,6 @@
 package netbuf
 
 import (
-	"errors"
 	"syscall"
 	"time"
 
@@ -9,50 +8,61 @@
 )
 
 // Left says whether the peer has closed its connection, or reset it, as far as that shows without a wait and without taking
-// any bytes: what it sent before may hide it from a read. A half close shows like a close. Any goroutine may call it.
+// any bytes: what it sent before may hide it from a read. A half close shows like a close. A peer that has left once does not
+// come back: the system tells of a reset only once. Any goroutine may call it.
 func (c *Conn) Left() bool {
-	left, _ := c.peek()
-	return left
+	if c.left.Load() {
+		return true
+	}
+	left, more := false, false
+	ok := c.control(func(fd int) {
+		if left, more = peek(fd); more {
+			left = hungUp(fd)
+		}
+	})
+	if left || !ok {
+		c.left.Store(true)
+	}
+	return left || !ok
 }
 
 // Look reads what the peer has sent by now, and says whether it has closed its connection behind that. It doesn't wait. The
 // goroutine that owns the connection calls it.
 func (c *Conn) Look() bool {
 	for {
-		left, more := c.peek()
-		if left || !more {
-			return left
+		left, more := false, false
+		if ok := c.control(func(fd int) { left, more = peek(fd) }); !ok || !more {
+			return left || !ok
 		}
 		c.SetReadDeadline(time.Time{}) // one that is over would hide what has come; Park sets its own
-		if c.fill(0) != nil {          // no room for it, and it doesn't show that the peer left; or the next peek does
+		if c.fill(0) != nil {          // there is no room for it, or the connection is broken
 			return c.Left()
 		}
 	}
 }
 
-// peek says whether the peer has left, and whether there is something to read. A connection that is no socket tells nothing.
-func (c *Conn) peek() (left, more bool) {
+// control runs a call on the socket below. False says that it is closed; a connection that is no socket runs nothing.
+func (c *Conn) control(f func(fd int)) bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false, false
+		return true
 	}
 	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true, false
-	}
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+}
+
+// peek says whether a socket's next read would tell that the peer has left, or whether it would bring something.
+func peek(fd int) (left, more bool) {
 	var b [1]byte
-	err = raw.Control(func(fd uintptr) {
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case e == nil && n > 0:
-			left, more = hungUp(int(fd)), true
-		case e == nil:
-			left = true
-		default:
-			left = !errors.Is(e, syscall.EAGAIN) && !errors.Is(e, syscall.EINTR)
-		}
-	})
-	return left || err != nil, more && err == nil
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch err {
+	case nil:
+		return n == 0, n > 0
+	case syscall.EAGAIN, syscall.EINTR, // nothing has come,
+		syscall.ENOSYS, syscall.EOPNOTSUPP, syscall.EINVAL, syscall.ENOMEM, syscall.ENOBUFS: // or nothing is known
+		return false, false
+	}
+	return true, false
 }
 
 // hungUp asks the system for a close that stands behind bytes not read yet. Only what can't be anything else counts: the end
--- a/internal/netbuf/netbuf.go
+++ b/internal/netbuf/netbuf.go
@@ -60,6 +60,7 @@
 	limit  int
 	budget *Budget // pays for buf past its first size
 	taken  int
+	left   atomic.Bool // Left has said yes
 
 	mu     sync.Mutex
 	parked bool
