Show that nothing follows a close that other lines keep already

Places suspected of sending on after a client's close, ruled out by forcing each crossing: a request held for want of a member, one that pauses, an attempt that ends in each way, a second copy that falls due, a copy right before its first byte as the answer streams, a request pipelined behind an open one, a statement prepared anew as the client goes.

--- a/internal/clients/gone_test.go
+++ b/internal/clients/gone_test.go
@@ -381,3 +381,89 @@
 		t.Errorf("%d attempts began: %s", began.Load(), c)
 	}
 }
+
+// TestCloseBehindPipelined has a client go that has pipelined a request behind one that is out: the first ends as one whose
+// client has gone, without another attempt, and the second is not begun.
+func TestCloseBehindPipelined(t *testing.T) {
+	onSockets(t, func(t *testing.T, mysqlFront bool, end func(*net.TCPConn)) {
+		began, release := make(chan string, 10), make(chan struct{})
+		host := &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act {
+			began <- id
+			<-release
+			return standin.Full // another attempt may follow
+		}}
+		r := newRig(mysqlFront, host)
+		t.Cleanup(r.end)
+		client, gateway := r.login(t)
+		fmt.Fprint(client, r.request("look", "q1", ""))
+		within(t, "the first attempt", began)
+		gateway.hold(true, false)
+		fmt.Fprint(client, r.request("look", "q2", ""))
+		read := within(t, "the second request", gateway.read)
+		end(client)
+		gateway.endHasCome(t)
+		gateway.hold(false, false)
+		close(read)
+		within(t, "the end of the session", gateway.closed)
+		c := r.counters
+		holds(t, "the end of the request", func() bool { return c.Get("clients_gone")+c.Get("refused")+c.Get("failed") > 0 })
+		close(release)
+		if c.Get("clients_gone") != 1 || c.Get("requests") != 1 || c.Get("attempts") != 1 || len(began) > 0 {
+			t.Errorf("%d further attempts began: %s", len(began), c)
+		}
+	})
+}
+
+// TestCloseWhilePreparing has a client go while its statement is prepared anew on a host's connection, and keeps its session
+// from reading of it: the execute is not written.
+func TestCloseWhilePreparing(t *testing.T) {
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			preparing, release := make(chan struct{}, 10), make(chan struct{})
+			var held atomic.Bool
+			host := &standin.Host{Primary: true, Act: func(_, _ string, prepare bool) standin.Act {
+				if prepare && held.Load() {
+					preparing <- struct{}{}
+					<-release
+				}
+				return standin.Serve
+			}}
+			r := newRig(true, host)
+			t.Cleanup(r.end)
+			client, gateway := sockets(t)
+			r.pipes.conns <- gateway
+			c, err := standin.DialMySQL(client, mysqlwire.CapQueryAttributes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, statement, _, err := c.Prepare("/* c=look,cluster=4 */ SELECT v FROM records WHERE k = ?")
+			if err != nil {
+				t.Fatal(err)
+			}
+			host.Die() // and its connections, which knew the statement
+			holds(t, "the ends of the host's connections", func() bool { return host.Conns() == 0 })
+			held.Store(true)
+			answered := make(chan struct{})
+			go func() {
+				defer close(answered)
+				c.Execute(statement, []mysqlwire.Param{mysqlwire.Attribute("", "q1")}, mysqlwire.Attribute("id", "q1"))
+			}()
+			within(t, "a prepare", preparing)
+			asked := time.Now()
+			gateway.hold(true, false)
+			end(client)
+			gateway.endHasCome(t)
+			within(t, "the read of the end", gateway.read) // goes no further
+			holds(t, "some time", func() bool { return time.Since(asked) > 50*time.Millisecond })
+			close(release)
+			n := r.counters
+			holds(t, "the end of the attempt", func() bool { return host.Ran("q1") > 0 || n.Get("clients_gone")+n.Get("refused") > 0 })
+			if host.Ran("q1") > 0 {
+				t.Errorf("it begins after its client has gone: %s", n)
+			}
+			client.Close()
+			within(t, "the end of the client", answered)
+		})
+	}
+}
--- a/internal/core/gone_test.go
+++ b/internal/core/gone_test.go
@@ -93,3 +93,132 @@
 		}
 	})
 }
+
+// earn has requests of a class served, so that the module may spend further attempts.
+func earn(c *Core, class string, started chan *Attempt) {
+	for range 30 {
+		c.Submit(&Request{Class: class, Arrived: time.Now(), Reply: func(Answer) {}})
+		a := <-started
+		a.Begin()
+		time.Sleep(5 * time.Millisecond)
+		a.Done(Outcome{Result: rules.ResultOK})
+		synctest.Wait()
+	}
+}
+
+// TestNothingFollowsAClose has a client leave while its request is held for want of a member, pauses after a refusal, has an
+// attempt out that ends in each way, or is about to get a second copy, with the module's own rules: nothing more is sent,
+// and nothing is kept.
+func TestNothingFollowsAClose(t *testing.T) {
+	end := func(r rules.Result) func(*Attempt) { return func(a *Attempt) { a.Done(Outcome{Result: r}) } }
+	for name, x := range map[string]struct {
+		class  string
+		before func(*Attempt) // what the first attempt does, then the client leaves; nil: there is none
+		after  func(*Attempt) // what it does then
+	}{
+		"held":          {class: "any"},
+		"paused":        {class: "put", before: end(rules.ResultFull)},
+		"reset":         {class: "any", after: end(rules.ResultReset)},
+		"turned away":   {class: "any", after: end(rules.ResultFull)},
+		"missed":        {class: "any", after: end(rules.ResultMiss)},
+		"not connected": {class: "any", after: end(rules.ResultConnectFailed)},
+		"silent":        {class: "any", after: func(*Attempt) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				started := make(chan *Attempt, 100)
+				s := &fakeServers{take: func(a *Attempt) bool { started <- a; return true }}
+				counters := &stats.Counters{}
+				c, err := New(Options{Rules: rules.Config{Gateways: 1, MaxAttempts: 6, MayCancel: true, MayDuplicate: true,
+					Classes: []rules.Class{{Name: "any", Aim: 2 * time.Second, Deadline: 4 * time.Second, Worth: 1},
+						{Name: "put", Need: rules.NeedWrite, Aim: 2 * time.Second, Deadline: 4 * time.Second, Worth: 1, LateWorth: 0.5}}},
+					Counters: counters, ProbeTimeout: 250 * time.Millisecond, AnswerSlack: 20 * time.Millisecond}, s)
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				go c.Run(ctx)
+				hosts := List{Kind: rules.ListWhole, Hosts: []Host{{Entry: rules.Entry{Member: "db-0", Leader: true, Size: 9}},
+					{Entry: rules.Entry{Member: "db-1", Size: 9}}}}
+				if name != "held" {
+					c.Members(hosts)
+					earn(c, x.class, started)
+				}
+				time.Sleep(time.Second)
+				q := &Request{Class: x.class, Arrived: time.Now(), Reply: func(a Answer) { t.Errorf("%s: answered: %+v", name, a) }}
+				c.Submit(q)
+				synctest.Wait()
+				var a *Attempt
+				if name != "held" {
+					if a = <-started; !a.Begin() {
+						t.Fatal("the first attempt does not begin")
+					}
+				}
+				if x.before != nil {
+					x.before(a)
+					synctest.Wait()
+				}
+				if len(started) > 0 {
+					t.Fatalf("%s: a second attempt comes too early", name)
+				}
+				c.Gone(q)
+				synctest.Wait()
+				if x.after != nil {
+					x.after(a)
+				}
+				c.Members(hosts)
+				time.Sleep(5 * time.Second)
+				cancel()
+				synctest.Wait()
+				want := int64(31)
+				if name == "held" {
+					want = 0
+				}
+				if n := counters.Get("attempts"); n != want || len(started) > 0 || counters.Get("clients_gone") != 1 {
+					t.Errorf("%s: %d attempts: %s", name, n, counters)
+				}
+				if len(c.requests) > 0 {
+					t.Errorf("%s: the request is kept", name)
+				}
+			})
+		})
+	}
+}
+
+// TestNoCopyBesideAStream has an answer begin to stream while a second copy of its request is right before its first byte:
+// the copy does not begin, whether the client stays or leaves in mid-value.
+func TestNoCopyBesideAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := make(chan *Attempt, 100)
+		s := &fakeServers{take: func(a *Attempt) bool { started <- a; return true }}
+		c, err := New(Options{Rules: rules.Config{Gateways: 1, MaxAttempts: 6, MayCancel: true, MayDuplicate: true,
+			Classes: []rules.Class{{Name: "any", Aim: 2 * time.Second, Deadline: 4 * time.Second, Worth: 1}}},
+			Counters: &stats.Counters{}, ProbeTimeout: 250 * time.Millisecond, AnswerSlack: 20 * time.Millisecond}, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go c.Run(ctx)
+		c.Members(List{Kind: rules.ListWhole, Hosts: []Host{{Entry: rules.Entry{Member: "db-0", Leader: true, Size: 9}},
+			{Entry: rules.Entry{Member: "db-1", Size: 9}}}})
+		earn(c, "any", started)
+		answers := make(chan Answer, 2)
+		c.Submit(&Request{Class: "any", Arrived: time.Now(), Reply: func(a Answer) { answers <- a }})
+		first := <-started
+		first.Begin()
+		second := <-started
+		if !first.Stream("v") || (<-answers).Value != "v" {
+			t.Error("the answer does not stream")
+		}
+		if second.Begin() {
+			t.Error("a copy begins beside it")
+		}
+		first.Done(Outcome{Result: rules.ResultCancelled}) // the client left in mid-value
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		if len(started) > 0 || len(answers) > 0 || len(c.requests) > 0 {
+			t.Errorf("%d attempts and %d answers follow, %d requests are kept", len(started), len(answers), len(c.requests))
+		}
+	})
+}
