Keep the id of a request open whose client has gone while an attempt may be out

Ask freed the id as soon as it saw the close, though an attempt that had begun went on at its host: a copy of the id from another client was then taken and sent, and hosts take that for a second attempt of the first, long after its client's close and, for a write that must not repeat, beside it. Only seen in a test; a client's own retry has a new id.

The id, and what the request takes of the memory budget, are given back when the request's time is over: no attempt lasts longer. One timer for each client that goes while its request is open.

--- a/internal/clients/ask.go
+++ b/internal/clients/ask.go
@@ -13,8 +13,8 @@
 const lookEvery = 50 * time.Millisecond
 
 // Ask hands a request to the core and waits for its answer, watching for the client's close. The id is the client's
-// own; ErrOpen says that it is that of an open request, and nothing has run. The request keeps about so many bytes
-// till then; where there is no room for them it is refused, and nothing has run.
+// own; ErrOpen says that it is that of an open request, and nothing has run; that of a client that has gone stays open for as
+// long as an attempt may be out. The request keeps about so many bytes till then; where there is no room for them it is refused, and nothing has run.
 //
 // A client whose end has come has gone, also one that shut only its sending side: on the wire that looks the same until an
 // answer is written. What it sent behind the request is not begun then.
@@ -22,20 +22,22 @@
 	if !x.server.begin(id) {
 		return core.Answer{}, ErrOpen
 	}
-	defer x.server.end(id)
+	over := func() { x.server.end(id) }
+	defer func() { over() }()
 	x.faults, x.proves, x.asked = 0, time.Time{}, true
 	if !x.server.Budget.Take(size) {
 		x.server.Counters.Add(x.server.Name+"_no_room", 1)
 		return core.Answer{Status: core.Refused}, nil
 	}
-	defer x.server.Budget.Give(size)
+	over = func() { x.server.end(id); x.server.Budget.Give(size) }
 	if x.Look() { // its close may have come long ago: this process may have been busy, or the request waited behind another
 		x.server.Counters.Add(x.server.Name+"_clients_gone_before", 1)
 		return core.Answer{}, ErrGone
 	}
 	answers := make(chan core.Answer, 1)
 	q.Arrived = x.arrived
-	q.Wait = x.server.Room.plan.Load().Wait(x.arrived, x.server.Core.Wait(q))
+	wait := x.server.Room.plan.Load().Wait(x.arrived, x.server.Core.Wait(q))
+	q.Wait = wait
 	q.Left = x.Left
 	q.Reply = func(a core.Answer) {
 		answers <- a
@@ -60,6 +62,8 @@
 		}
 		if err != nil {
 			x.server.Core.Gone(q)
+			later := over // what has begun goes on at its host: a copy of the id would be taken for another attempt of it
+			over = func() { time.AfterFunc(time.Until(x.arrived.Add(wait)), later) }
 			return core.Answer{}, ErrGone
 		}
 	}
--- a/internal/clients/gone_test.go
+++ b/internal/clients/gone_test.go
@@ -1,12 +1,14 @@
 package clients_test
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -467,3 +469,43 @@
 		})
 	}
 }
+
+// TestIdOfAClientThatHasGone has a client go while its write is out, and another send a copy of it: hosts would take that for
+// a second attempt of the first. Once the first's time is up its id is free, and so is its memory.
+func TestIdOfAClientThatHasGone(t *testing.T) {
+	for _, form := range forms[:2] {
+		inBubble(t, func() (err error) {
+			hold := make(chan struct{})
+			release := sync.OnceFunc(func() { close(hold) })
+			host := &standin.Host{Primary: true, Act: func(string, string, bool) standin.Act { <-hold; return standin.Serve }}
+			r := newRig(form != "postgres", host)
+			defer func() { err = cmp.Or(err, r.close()) }()
+			defer release()
+			a, err := r.asker(form)
+			if err != nil {
+				return err
+			}
+			go a.ask("put", "q1")
+			synctest.Wait() // it is at the host
+			a.leave()
+			synctest.Wait()
+			if n := r.counters.Get("clients_gone"); n != 1 {
+				return fmt.Errorf("%s: %d clients have gone", form, n)
+			}
+			b, err := r.asker(form)
+			if err != nil {
+				return err
+			}
+			defer b.leave()
+			if got, err := b.ask("put", "q1"); err != nil || got.Outcome == "served" || r.counters.Get("requests") != 1 {
+				return fmt.Errorf("%s: a copy: %+v, %v, %d requests", form, got, err, r.counters.Get("requests"))
+			}
+			release()
+			time.Sleep(1100 * time.Millisecond)
+			if got, err := b.ask("put", "q1"); err != nil || got.Outcome != "served" {
+				return fmt.Errorf("%s: after its time: %+v, %v", form, got, err)
+			}
+			return nil
+		})
+	}
+}
