--- a/internal/clients/gone_test.go
+++ b/internal/clients/gone_test.go
@@ -1,11 +1,14 @@
 package clients_test
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -43,7 +46,10 @@
 		goOn := make(chan struct{})
 		select {
 		case at <- goOn:
-			<-goOn
+			select {
+			case <-goOn:
+			case <-c.closed:
+			}
 		case <-c.closed:
 		}
 	}
@@ -315,3 +321,191 @@
 		}
 	}
 }
+
+// TestCloseBeforeTheLastGate has a client go whose request waits for a connection, and keeps its session from reading of it:
+// the attempt does not begin once the connection is there.
+func TestCloseBeforeTheLastGate(t *testing.T) {
+	onSockets(t, func(t *testing.T, mysqlFront bool, end func(*net.TCPConn)) {
+		began := make(chan string, 10)
+		host := &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act { began <- id; return standin.Serve }}
+		r := newRig(mysqlFront, host)
+		t.Cleanup(r.end)
+		opening, open := make(chan struct{}, 100), make(chan struct{})
+		r.opening = func() { opening <- struct{}{}; <-open }
+		client, gateway := r.login(t)
+		asked := time.Now()
+		fmt.Fprint(client, r.request("look", "q1", ""))
+		within(t, "an attempt that waits for a connection", opening)
+		gateway.hold(true, false)
+		end(client)
+		gateway.endHasCome(t)
+		within(t, "the read of the end", gateway.read) // goes no further
+		holds(t, "some time", func() bool { return time.Since(asked) > 50*time.Millisecond })
+		close(open)
+		c := r.counters
+		holds(t, "the end of the attempt", func() bool { return len(began) > 0 || c.Get("clients_gone")+c.Get("refused") > 0 })
+		if len(began) > 0 || c.Get("attempts_ok") > 0 {
+			t.Errorf("%s begins after its client has gone: %s", <-began, c)
+		}
+		gateway.hold(false, false)
+	})
+}
+
+// TestManyCloseAtOnce has a hundred clients go at once whose requests wait for connections: none begins.
+func TestManyCloseAtOnce(t *testing.T) {
+	const clients = 100
+	var began atomic.Int64
+	host := &standin.Host{Primary: true, Act: func(string, string, bool) standin.Act { began.Add(1); return standin.Serve }}
+	r := newRigFor(2*clients, 1, false, host)
+	t.Cleanup(r.end)
+	open := make(chan struct{})
+	r.opening = func() { <-open }
+	var all []*net.TCPConn
+	var gateways []*stepped
+	for range clients {
+		client, gateway := r.login(t)
+		all, gateways = append(all, client), append(gateways, gateway)
+	}
+	for i, client := range all {
+		fmt.Fprint(client, r.request("look", fmt.Sprint("q", i), ""))
+	}
+	c := r.counters
+	holds(t, "the requests", func() bool { return c.Get("requests") == clients })
+	for _, client := range all {
+		client.Close()
+	}
+	for _, gateway := range gateways {
+		within(t, "the end of a session", gateway.closed)
+	}
+	close(open)
+	holds(t, "the ends of the requests", func() bool { return c.Get("clients_gone")+c.Get("refused")+c.Get("failed") == clients })
+	if c.Get("clients_gone") == 0 || began.Load() > 0 {
+		t.Errorf("%d attempts began: %s", began.Load(), c)
+	}
+}
+
+// TestCloseBehindPipelined has a client go that has pipelined a request behind one that is out: the first ends as one whose
+// client has gone, without another attempt, and the second is not begun.
+func TestCloseBehindPipelined(t *testing.T) {
+	onSockets(t, func(t *testing.T, mysqlFront bool, end func(*net.TCPConn)) {
+		began, release := make(chan string, 10), make(chan struct{})
+		host := &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act {
+			began <- id
+			<-release
+			return standin.Full // another attempt may follow
+		}}
+		r := newRig(mysqlFront, host)
+		t.Cleanup(r.end)
+		client, gateway := r.login(t)
+		fmt.Fprint(client, r.request("look", "q1", ""))
+		within(t, "the first attempt", began)
+		gateway.hold(true, false)
+		fmt.Fprint(client, r.request("look", "q2", ""))
+		read := within(t, "the second request", gateway.read)
+		end(client)
+		gateway.endHasCome(t)
+		gateway.hold(false, false)
+		close(read)
+		within(t, "the end of the session", gateway.closed)
+		c := r.counters
+		holds(t, "the end of the request", func() bool { return c.Get("clients_gone")+c.Get("refused")+c.Get("failed") > 0 })
+		close(release)
+		if c.Get("clients_gone") != 1 || c.Get("requests") != 1 || c.Get("attempts") != 1 || len(began) > 0 {
+			t.Errorf("%d further attempts began: %s", len(began), c)
+		}
+	})
+}
+
+// TestCloseWhilePreparing has a client go while its statement is prepared anew on a host's connection, and keeps its session
+// from reading of it: the execute is not written.
+func TestCloseWhilePreparing(t *testing.T) {
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			preparing, release := make(chan struct{}, 10), make(chan struct{})
+			var held atomic.Bool
+			host := &standin.Host{Primary: true, Act: func(_, _ string, prepare bool) standin.Act {
+				if prepare && held.Load() {
+					preparing <- struct{}{}
+					<-release
+				}
+				return standin.Serve
+			}}
+			r := newRig(true, host)
+			t.Cleanup(r.end)
+			client, gateway := sockets(t)
+			r.pipes.conns <- gateway
+			c, err := standin.DialMySQL(client, mysqlwire.CapQueryAttributes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, statement, _, err := c.Prepare("/* c=look,cluster=4 */ SELECT v FROM records WHERE k = ?")
+			if err != nil {
+				t.Fatal(err)
+			}
+			host.Die() // and its connections, which knew the statement
+			holds(t, "the ends of the host's connections", func() bool { return host.Conns() == 0 })
+			held.Store(true)
+			answered := make(chan struct{})
+			go func() {
+				defer close(answered)
+				c.Execute(statement, []mysqlwire.Param{mysqlwire.Attribute("", "q1")}, mysqlwire.Attribute("id", "q1"))
+			}()
+			within(t, "a prepare", preparing)
+			asked := time.Now()
+			gateway.hold(true, false)
+			end(client)
+			gateway.endHasCome(t)
+			within(t, "the read of the end", gateway.read) // goes no further
+			holds(t, "some time", func() bool { return time.Since(asked) > 50*time.Millisecond })
+			close(release)
+			n := r.counters
+			holds(t, "the end of the attempt", func() bool { return host.Ran("q1") > 0 || n.Get("clients_gone")+n.Get("refused") > 0 })
+			if host.Ran("q1") > 0 {
+				t.Errorf("it begins after its client has gone: %s", n)
+			}
+			client.Close()
+			within(t, "the end of the client", answered)
+		})
+	}
+}
+
+// TestIdOfAClientThatHasGone has a client go while its write is out, and another send a copy of it: hosts would take that for
+// a second attempt of the first. Once the first's time is up its id is free, and so is its memory.
+func TestIdOfAClientThatHasGone(t *testing.T) {
+	for _, form := range forms[:2] {
+		inBubble(t, func() (err error) {
+			hold := make(chan struct{})
+			release := sync.OnceFunc(func() { close(hold) })
+			host := &standin.Host{Primary: true, Act: func(string, string, bool) standin.Act { <-hold; return standin.Serve }}
+			r := newRig(form != "postgres", host)
+			defer func() { err = cmp.Or(err, r.close()) }()
+			defer release()
+			a, err := r.asker(form)
+			if err != nil {
+				return err
+			}
+			go a.ask("put", "q1")
+			synctest.Wait() // it is at the host
+			a.leave()
+			synctest.Wait()
+			if n := r.counters.Get("clients_gone"); n != 1 {
+				return fmt.Errorf("%s: %d clients have gone", form, n)
+			}
+			b, err := r.asker(form)
+			if err != nil {
+				return err
+			}
+			defer b.leave()
+			if got, err := b.ask("put", "q1"); err != nil || got.Outcome == "served" || r.counters.Get("requests") != 1 {
+				return fmt.Errorf("%s: a copy: %+v, %v, %d requests", form, got, err, r.counters.Get("requests"))
+			}
+			release()
+			time.Sleep(1100 * time.Millisecond)
+			if got, err := b.ask("put", "q1"); err != nil || got.Outcome != "served" {
+				return fmt.Errorf("%s: after its time: %+v, %v", form, got, err)
+			}
+			return nil
+		})
+	}
+}
