Look at a connection to a host right before a request's first byte

What came on a resting connection, bytes or an end, was looked for as it was woken, and the request was written after it had been put into words (up to 128 KiB). What came in between was read as the answer's beginning: another request's answer, or a reset or spoilt answer of one that had not been sent, which a statement that may run once paid for as failed. Behind the answer to a prepare nothing was looked for, so its second copy passed for the execute's result. At fault: link.run's look before Exchange, and execute. A host whose new connections all end at once took an attempt round for its whole time.

The order is now words, look, Begin, write; one look an attempt as before (two where it prepares). An attempt whose look failed has not begun and goes by another connection, but for one whose connection has just come up: that could not connect.

TestComesAsTheConnectionIsTaken stops the connection between its steps; without the change all 15 cases right before the exchange failed, 20 of 20 runs (a reset fails the write itself, before and after). TestSurplusBehindAPrepare and TestSpoiltFromTheStart failed 20 of 20. With it 20 of 20 passed, -race.

--- a/internal/servers/host.go
+++ b/internal/servers/host.go
@@ -114,7 +114,11 @@
 		h.drop(m.l)
 		select {
 		case a := <-m.l.jobs: // it was handed over as the connection ended, and never began
-			h.place(a)
+			if m.l.untried { // or it would go round for all its time where each new connection ends like this
+				h.fail(a, rules.ResultConnectFailed)
+			} else {
+				h.place(a)
+			}
 		default:
 		}
 	}
@@ -190,8 +194,10 @@
 	if l.freedAt.IsZero() || h.links >= mostRests || h.pool.full() {
 		wait = 0
 	}
+	first := l.freedAt.IsZero()
 	l.freedAt = time.Now()
 	if a := h.next(wait); a != nil {
+		l.untried = first
 		l.give(a)
 		return
 	}
--- a/internal/servers/link.go
+++ b/internal/servers/link.go
@@ -61,6 +61,7 @@
 	jobs     chan *core.Attempt // holds one; the host gives the next only to an idle link
 	freedAt  time.Time          // when it last came free; owned by the host
 	openedAt time.Time
+	untried  bool // its attempt is the first that it was given, as it came up; owned by the host
 }
 
 func (l *link) give(a *core.Attempt) {
@@ -68,19 +69,22 @@
 	l.conn.Wake()
 }
 
-// run takes attempts until the connection ends, is given up, or has stood idle for too long.
+// run takes attempts until the connection ends, is given up, or has stood idle for too long. An attempt that is left in
+// jobs then goes by another connection.
 func (l *link) run(h *host) {
 	stale := &h.pool.stale
 	uses := 0
 	var unwelcome time.Time // when its only attempt so far was turned away
+	defer func() {
+		if time.Since(unwelcome) < restFor {
+			h.noRoom()
+		}
+	}()
 	for {
 		since := time.Now()
 		err := l.conn.Park(since.Add(stale.trusted(h.pool.opt.IdleFor)), func() bool { return len(l.jobs) > 0 })
-		if err != nil || !l.conn.Alive() {
-			if time.Since(unwelcome) < restFor {
-				h.noRoom()
-			}
-			return // an attempt just handed over goes to another connection
+		if err != nil || len(l.jobs) == 0 && !l.conn.Alive() {
+			return
 		}
 		var a *core.Attempt
 		select {
@@ -94,6 +98,12 @@
 		}
 		began := time.Now()
 		out, inStep := l.conn.Exchange(a)
+		if !inStep && out.Result == rules.ResultMoot {
+			if a.Waiting() {
+				l.jobs <- a // there is room: the host gives none to a link that is not idle
+			}
+			return
+		}
 		out.Opened = l.openedAt
 		if uses++; uses == 1 && out.Result == rules.ResultFull {
 			unwelcome = time.Now()
@@ -103,9 +113,6 @@
 		stale.saw(began.Sub(since), out.Result == rules.ResultReset && time.Since(began) < staleAtOnce && a.Context().Err() == nil)
 		if !inStep {
 			a.Done(out)
-			if !unwelcome.IsZero() {
-				h.noRoom()
-			}
 			return
 		}
 		h.mailbox <- freed{l} // first, so that the core finds it free
--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -189,12 +189,16 @@
 
 // query sends a text query.
 func (c *Conn) query(a *core.Attempt, attributes []mysqlwire.Param, text []byte) (core.Outcome, bool) {
+	closes := len(c.w.B)
+	c.w.Seq = 0
+	c.w.Query(attributes, text, c.caps)
+	if !c.Alive() {
+		return servers.NeverBegan, false
+	}
 	if !a.Begin() {
-		return core.Outcome{}, c.flush() == nil
+		return c.leave(closes)
 	}
 	defer context.AfterFunc(a.Context(), func() { c.Close() })()
-	c.w.Seq = 0
-	c.w.Query(attributes, text, c.caps)
 	if err := c.flush(); err != nil {
 		return core.Outcome{Result: rules.ResultConnectFailed}, false
 	}
@@ -203,11 +207,20 @@
 	return c.outcome(a, r, e, err), err == nil && a.Context().Err() == nil && c.Buffered() == 0
 }
 
+// leave gives up what was gathered for an attempt that did not begin, but for what came before it.
+func (c *Conn) leave(before int) (core.Outcome, bool) {
+	c.w.B = c.w.B[:before]
+	return servers.NeverBegan, c.flush() == nil
+}
+
 // prepareOnly runs a client's prepare. It is not cut off when it is given up: its answer, if it still comes, is
 // read so that the connection stays in step, and a statement whose client has left meanwhile is closed.
 func (c *Conn) prepareOnly(a *core.Attempt, s *mysqlwire.Statement) (core.Outcome, bool) {
+	if !c.Alive() {
+		return servers.NeverBegan, false
+	}
 	if !a.Begin() {
-		return core.Outcome{}, c.flush() == nil
+		return c.leave(len(c.w.B))
 	}
 	e, err := c.prepare(s, time.Until(a.Until)+lateFor)
 	if err != nil {
@@ -230,26 +243,23 @@
 		p, ok := c.statements[command.Statement]
 		if !ok {
 			if !began && !a.Waiting() {
-				return core.Outcome{}, c.flush() == nil
+				return c.leave(len(c.w.B))
+			}
+			if !began && !c.Alive() {
+				return servers.NeverBegan, false
 			}
 			e, err := c.prepare(command.Statement, c.account.PrepareFor)
 			if err != nil { // the execute was never written
 				return core.Outcome{Result: rules.ResultConnectFailed}, false
 			} else if e != nil {
 				if !began && !a.Begin() {
-					return core.Outcome{}, true
+					return servers.NeverBegan, true
 				}
 				return core.Outcome{Result: result(e, nil)}, true
 			}
 			p = c.statements[command.Statement]
 		}
-		if !began && !a.Begin() {
-			return core.Outcome{}, c.flush() == nil
-		}
-		if !began {
-			began = true
-			defer context.AfterFunc(a.Context(), func() { c.Close() })()
-		}
+		closes := len(c.w.B)
 		for i, data := range command.Long {
 			c.w.Seq = 0
 			c.w.Begin()
@@ -261,6 +271,19 @@
 		}
 		c.w.Seq = 0
 		c.w.Execute(p.id, command.Params, attributes(command, time.Until(a.Until)), c.caps)
+		if !c.Alive() {
+			if ok { // it came while the connection rested
+				return servers.NeverBegan, false
+			}
+			return core.Outcome{Result: rules.ResultConnectFailed}, false // it came behind the prepare's answer
+		}
+		if !began {
+			if !a.Begin() {
+				return c.leave(closes)
+			}
+			began = true
+			defer context.AfterFunc(a.Context(), func() { c.Close() })()
+		}
 		if err := c.flush(); err != nil {
 			return core.Outcome{Result: rules.ResultConnectFailed}, false
 		}
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -77,12 +77,15 @@
 		text := s.Append(make([]byte, 0, s.Len()), time.Until(a.Until))
 		c.out = pgwire.Append(c.out[:0], 'Q', string(text), "\x00")
 	}
+	c.SetWriteDeadline(time.Now().Add(writeAtMost))
+	c.SetReadDeadline(time.Time{}) // the core gives attempts up in time
+	if !c.Alive() {
+		return servers.NeverBegan, false
+	}
 	if !a.Begin() {
-		return core.Outcome{}, true
+		return servers.NeverBegan, true
 	}
 	stop := c.watch(a) // this is how an attempt is given up
-	c.SetWriteDeadline(time.Now().Add(writeAtMost))
-	c.SetReadDeadline(time.Time{}) // the core gives attempts up in time
 	n, err := c.Write(c.out)
 	whole := n == len(c.out)
 	if cap(c.out) > 16<<10 {
--- a/internal/servers/rig_test.go
+++ b/internal/servers/rig_test.go
@@ -38,28 +38,31 @@
 	listener net.Listener
 	core     *core.Core
 	counters *stats.Counters
+	serve    func(net.Conn) // in place of the host
 
 	mu    sync.Mutex
 	conns []*net.TCPConn // the host's ends, in the order of their coming
-	more  chan struct{}  // takes one for each that comes
 
 	prepared map[string]*mysqlwire.Statement // by class
 }
 
 // newRig plays a host; change may alter the pool's options, among them the seams: how connections are opened and started.
-func newRig(t *testing.T, form string, host *standin.Host, change func(*servers.Options)) *rig {
+func newRig(t *testing.T, form string, host *standin.Host, change func(*servers.Options), serve ...func(net.Conn)) *rig {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	host.Primary = true
-	r := &rig{t: t, form: form, host: host, listener: l, counters: &stats.Counters{}, more: make(chan struct{}, 100),
+	r := &rig{t: t, form: form, host: host, listener: l, counters: &stats.Counters{},
 		prepared: map[string]*mysqlwire.Statement{}}
 	opt := servers.Options{Start: postgres.Start, ConnectTimeout: soon, IdleFor: soon, MostOpen: 50, Gateways: 1, Counters: r.counters}
 	if form != "postgres" {
 		opt.Start = mysql.Account{User: "svc", Probe: "SHOW pressure", PrepareFor: soon}.Start
 	}
+	for _, f := range serve {
+		r.serve = f
+	}
 	if change != nil {
 		change(&opt)
 	}
@@ -103,9 +106,10 @@
 		r.mu.Lock()
 		r.conns = append(r.conns, c.(*net.TCPConn))
 		r.mu.Unlock()
-		r.more <- struct{}{}
 		all.Go(func() {
-			if r.form == "postgres" {
+			if r.serve != nil {
+				r.serve(c)
+			} else if r.form == "postgres" {
 				r.host.ServePostgres(c)
 			} else {
 				r.host.ServeMySQL(c)
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -27,9 +27,11 @@
 	Wake()
 	// Alive says whether the peer has neither closed nor sent anything.
 	Alive() bool
-	// Exchange runs an attempt: it calls Begin before the first byte that may have an effect, and reads what
-	// comes back. The second result says whether the connection is in step for another attempt. When the
-	// attempt is given up Exchange ends soon.
+	// Exchange runs an attempt and reads what comes back. Right before the first byte that may have an effect it looks
+	// whether the connection is Alive, and then calls Begin: what has come to a resting connection must not be taken for an
+	// answer, nor its end for one of a request that may have run. Where the look failed, it returns NeverBegan and the
+	// attempt goes by another connection. The second result says whether the connection is in step for another attempt. When
+	// the attempt is given up Exchange ends soon.
 	Exchange(a *core.Attempt) (core.Outcome, bool)
 	Close() error
 }
@@ -38,6 +40,9 @@
 // connection is closed.
 type Starter func(raw net.Conn) (Conn, error)
 
+// NeverBegan is the outcome of an attempt of which no byte was written and that still may be.
+var NeverBegan = core.Outcome{Result: rules.ResultMoot}
+
 // AnswerFor is how long an answer may take from its first byte to its last: hosts write answers whole.
 const AnswerFor = 400 * time.Millisecond
 
