Fail no attempt for another's connect while its own is coming up

A connect that fails ends the oldest attempt that waits. Where the attempt that had asked for it was by then served by a used connection, or over, that was another's, whose own connection was coming up: it counted as one that could not connect, an attempt and a pause lost, most of all where connects hang for their whole time. At fault: host.notOpened, which did not compare attempts with connects under way.

It now fails one only if more wait than connections are coming up, or if the oldest has waited for as long as its own connect may take, so that a hung host is told as soon as before.

--- a/internal/servers/host.go
+++ b/internal/servers/host.go
@@ -34,6 +34,7 @@
 	idle    []*link // the one used last is at the end
 	waiting []waiter
 	links   int       // connections open or being opened
+	opening int       // of those: not yet up
 	asked   keep.Host // how often attempts come
 	trimAt  time.Time // when idle connections are looked at next; zero: not planned
 
@@ -103,11 +104,13 @@
 	case relieve:
 		h.closeIdle(max(0, len(h.idle)-1))
 	case opened:
+		h.opening--
 		h.free(m.l)
 	case freed:
 		h.free(m.l)
 	case notOpened:
 		h.links--
+		h.opening--
 		h.notOpened(m.err)
 	case lost:
 		h.links--
@@ -140,6 +143,7 @@
 	}
 	h.waiting = append(h.waiting, waiter{a, time.Now()})
 	h.links++
+	h.opening++
 	h.pool.group.Go(func() error { h.open(); return nil })
 }
 
@@ -256,7 +260,8 @@
 	}
 }
 
-// notOpened takes a connection that did not come up: the oldest attempt has waited for it.
+// notOpened takes a connection that did not come up: the oldest attempt has waited for it, unless another one is coming up for
+// that.
 func (h *host) notOpened(err error) {
 	result := rules.ResultConnectFailed
 	if errors.Is(err, ErrTurnedAway) {
@@ -268,6 +273,9 @@
 		h.loggedAt = now
 		log.Printf("event=connect_failed member=%s error=%q", h.name, err)
 	}
+	if h.expected() {
+		return
+	}
 	if a := h.next(0); a != nil && len(h.idle) > 0 {
 		l := h.idle[0]
 		h.idle = h.idle[1:]
@@ -277,6 +285,13 @@
 	}
 }
 
+// expected says whether each attempt that waits has a connection coming up still: others were served by used connections, or
+// ended. One that has waited for as long as its own connect may have taken isn't made to wait for another's.
+func (h *host) expected() bool {
+	h.waiting = slices.DeleteFunc(h.waiting, func(w waiter) bool { return !w.Waiting() })
+	return len(h.waiting) <= h.opening && (len(h.waiting) == 0 || time.Since(h.waiting[0].since) < h.pool.opt.ConnectTimeout)
+}
+
 // fail ends an attempt that was never written. The core hears of it from a goroutine of its own, as this actor
 // must not wait for the core, which may be telling it something.
 func (h *host) fail(a *core.Attempt, result rules.Result) {
--- a/internal/servers/rig_test.go
+++ b/internal/servers/rig_test.go
@@ -130,14 +130,26 @@
 
 // ask sends a request on, whose answer comes by the channel.
 func (r *rig) ask(class, id string) <-chan core.Answer {
+	r.t.Helper()
+	answers := make(chan core.Answer, 10)
+	r.send(class, id, func(a core.Answer) { answers <- a })
+	return answers
+}
+
+// submit sends a request on whose answer nobody waits for.
+func (r *rig) submit(class, id string) *core.Request {
+	r.t.Helper()
+	return r.send(class, id, func(core.Answer) {})
+}
+
+func (r *rig) send(class, id string, reply func(core.Answer)) *core.Request {
 	r.t.Helper()
 	text := "/* id=" + id + ",c=" + class + ",d=60000,cluster=4 */ SELECT v FROM records WHERE k = '" + id + "'"
 	s, err := statement.Parse([]byte(text))
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	answers := make(chan core.Answer, 10)
-	q := &core.Request{Class: class, Group: 4, Arrived: time.Now(), Payload: s, Reply: func(a core.Answer) { answers <- a }}
+	q := &core.Request{Class: class, Group: 4, Arrived: time.Now(), Payload: s, Reply: reply}
 	switch r.form {
 	case "mysql":
 		q.Payload = &mysqlwire.Command{Kind: mysqlwire.ComQuery, Meta: s}
@@ -151,7 +163,7 @@
 	if !r.core.Submit(q) {
 		r.t.Fatal("the core has ended")
 	}
-	return answers
+	return q
 }
 
 // wait takes an answer.
