Bound how long connections may stand idle, whatever the settings say

With an idle time of zero or less a connection that came up ended before its attempt was handed to it, and requests were refused. At fault: the pool took the time as given. It is now held between 50 ms and an hour. Connect times of zero or less fail each attempt as never run, at most six connections a request; the settings' reader is the place to refuse them.

--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -66,6 +66,13 @@
 	Counters       *stats.Counters
 }
 
+// The bounds on how long a connection may stand idle, whatever the settings say: one that has come up is handed to its
+// attempt within the first, and no clock overflows with the second.
+const (
+	leastIdle = 50 * time.Millisecond
+	mostIdle  = time.Hour
+)
+
 // Pool holds the hosts. It implements core.Servers; the module's actor alone calls those methods.
 type Pool struct {
 	opt   Options
@@ -87,6 +94,7 @@
 			return d.DialContext(ctx, "tcp", address)
 		}
 	}
+	opt.IdleFor = min(max(opt.IdleFor, leastIdle), mostIdle)
 	g, ctx := errgroup.WithContext(ctx)
 	return &Pool{opt: opt, hosts: map[string]*host{}, slots: make(chan struct{}, opt.MostOpen), group: g, ctx: ctx,
 		keep: sharedKeeper{keeper: keep.New(opt.Gateways, opt.IdleFor, time.Now())}}
