Stop watching a MySQL attempt before its connection is used again

Whether a connection was in step was asked of the attempt's context, and the watch that closes it when the attempt is given up was ended after that: one given up in between closed the connection while it already carried the next attempt, which then counted as reset. At fault: query and execute. Where a statement had to be prepared anew and was turned down, the order was the same.

As with PostgreSQL the end of the watch now says whether the connection is in step: once it has ended in time, it never fires.

No test forces this: the crossing lay between two adjacent lines with nothing in between that a test could hold. Found by reading; the tests of both packages pass under -race.

--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -198,13 +198,19 @@
 	if !a.Begin() {
 		return c.leave(closes)
 	}
-	defer context.AfterFunc(a.Context(), func() { c.Close() })()
+	stop := c.watch(a)
 	if err := c.flush(); err != nil {
 		return core.Outcome{Result: rules.ResultConnectFailed}, false
 	}
 	c.SetReadDeadline(time.Time{})
 	r, e, err := c.result(false)
-	return c.outcome(a, r, e, err), err == nil && a.Context().Err() == nil && c.Buffered() == 0
+	return c.outcome(a, r, e, err), stop() && err == nil && c.Buffered() == 0
+}
+
+// watch closes the connection when the attempt is given up. Once stop has said yes it never will: a close that came later would
+// hit the next attempt.
+func (c *Conn) watch(a *core.Attempt) (stop func() bool) {
+	return context.AfterFunc(a.Context(), func() { c.Close() })
 }
 
 // leave gives up what was gathered for an attempt that did not begin, but for what came before it.
@@ -238,7 +244,7 @@
 
 // execute runs a prepared statement, which it prepares on this connection first if need be.
 func (c *Conn) execute(a *core.Attempt, command *mysqlwire.Command) (core.Outcome, bool) {
-	began := false
+	began, stop := false, func() bool { return true }
 	for {
 		p, ok := c.statements[command.Statement]
 		if !ok {
@@ -255,7 +261,7 @@
 				if !began && !a.Begin() {
 					return servers.NeverBegan, true
 				}
-				return core.Outcome{Result: result(e, nil)}, true
+				return core.Outcome{Result: result(e, nil)}, stop()
 			}
 			p = c.statements[command.Statement]
 		}
@@ -281,8 +287,7 @@
 			if !a.Begin() {
 				return c.leave(closes)
 			}
-			began = true
-			defer context.AfterFunc(a.Context(), func() { c.Close() })()
+			began, stop = true, c.watch(a)
 		}
 		if err := c.flush(); err != nil {
 			return core.Outcome{Result: rules.ResultConnectFailed}, false
@@ -293,7 +298,7 @@
 			c.forget(command.Statement) // prepared here long ago; the next round prepares it anew
 			continue
 		}
-		return c.outcome(a, r, e, err), err == nil && a.Context().Err() == nil && c.Buffered() == 0
+		return c.outcome(a, r, e, err), stop() && err == nil && c.Buffered() == 0
 	}
 }
 
