Tell a failed connect as never run also where the time-out comes first

An attempt whose connect had failed was marked as begun before the core heard of the failure. If its time ran out in between, it counted as timed out, so that a statement that may run once was answered as failed though nothing had been sent; and so it was with an execute whose prepare was turned down. At fault: host.fail and execute, which called Begin without a byte to write.

They hand the outcome in without Begin. Only the first outcome counts as before, and a time-out, a drain or a client's leaving that comes first finds an attempt that has not begun.

--- a/internal/servers/connect_test.go
+++ b/internal/servers/connect_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"cranegate/internal/core"
+	"cranegate/internal/netbuf"
+	"cranegate/internal/pgwire"
 	"cranegate/internal/servers"
 	"cranegate/internal/standin"
 )
@@ -149,3 +152,67 @@
 		t.Errorf("it ran %d times", n)
 	}
 }
+
+// TestFailCrossesTheTimeOut lets an attempt's time run out after its connect has failed and before the core has heard of that: it
+// never ran, and its request is refused.
+func TestFailCrossesTheTimeOut(t *testing.T) {
+	g := &gate{t: t, began: make(chan chan error, 10)}
+	r := newRig(t, "postgres", &standin.Host{}, g.connect)
+	answers := r.ask("brief", "q1")
+	failing := <-g.began
+	held, release := make(chan struct{}), make(chan struct{})
+	r.send("no such class", "q0", func(core.Answer) { close(held); <-release }) // holds the core up
+	<-held
+	r.core.Gone(&core.Request{}) // comes before the outcome, and after the time
+	failing <- errors.New("refused")
+	until(t, "the connect has failed", func() bool { return r.counters.Get("server_connects_failed") == 1 })
+	time.Sleep(700 * time.Millisecond) // its deadline is over
+	close(release)
+	if a := r.wait(answers); a.Status != core.Refused || r.counters.Get("attempts_timed_out") > 0 {
+		t.Errorf("status %d, %d timed out", a.Status, r.counters.Get("attempts_timed_out"))
+	}
+}
+
+// TestHalfStart has a host hang, turn away or break in the middle of a connection's start: the attempt never ran, within the time
+// for a connect.
+func TestHalfStart(t *testing.T) {
+	hello := pgwire.Append(nil, 'R', "\x00\x00\x00\x00")
+	turned := pgwire.AppendError(nil, "FATAL", "53300", "too many", "")
+	for name, c := range map[string]struct {
+		say  []byte
+		ends bool
+		want string
+	}{
+		"nothing, hangs":       {nil, false, "attempts_not_connected"},
+		"half, hangs":          {hello[:4], false, "attempts_not_connected"},
+		"half, ends":           {hello[:4], true, "attempts_not_connected"},
+		"no Ready, hangs":      {hello, false, "attempts_not_connected"},
+		"noise":                {[]byte("\x97\xd4\x97\xd4\x97\xd4\x97\xd4"), false, "attempts_not_connected"},
+		"turned away":          {turned, true, "attempts_turned_away"},
+		"turned away, no end":  {turned, false, "attempts_turned_away"},
+		"a turn away cut off":  {turned[:20], true, "attempts_not_connected"},
+		"hello, then turned":   {append(hello, turned...), true, "attempts_turned_away"},
+		"Ready cut off, hangs": {append(hello, 'Z', 0, 0), false, "attempts_not_connected"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			wait := soon
+			if strings.HasSuffix(name, "hangs") {
+				wait = 50 * time.Millisecond
+			}
+			r := newRig(t, "postgres", &standin.Host{}, func(opt *servers.Options) { opt.ConnectTimeout = wait }, func(raw net.Conn) {
+				b := netbuf.New(raw, pgwire.MaxMessage)
+				if _, _, err := pgwire.ReadStartup(b); err == nil {
+					raw.Write(c.say)
+				}
+				if !c.ends {
+					b.Need(1)
+				}
+				raw.Close()
+			})
+			if a := r.wait(r.ask("brief", "q1")); a.Status != core.Refused || r.counters.Get(c.want) == 0 {
+				t.Errorf("status %d, %s %d", a.Status, c.want, r.counters.Get(c.want))
+			}
+		})
+	}
+}
--- a/internal/servers/host.go
+++ b/internal/servers/host.go
@@ -292,10 +292,11 @@
 	return len(h.waiting) <= h.opening && (len(h.waiting) == 0 || time.Since(h.waiting[0].since) < h.pool.opt.ConnectTimeout)
 }
 
-// fail ends an attempt that was never written. The core hears of it from a goroutine of its own, as this actor
-// must not wait for the core, which may be telling it something.
+// fail ends an attempt that was never written. It does not begin: where its time runs out before the core hears of this, it
+// still never ran. The core hears of it from a goroutine of its own, as this actor must not wait for the core, which may be
+// telling it something.
 func (h *host) fail(a *core.Attempt, result rules.Result) {
-	if a.Begin() {
+	if a.Waiting() {
 		h.pool.group.Go(func() error { a.Done(core.Outcome{Result: result}); return nil })
 	}
 }
--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -258,9 +258,6 @@
 			if err != nil { // the execute was never written
 				return core.Outcome{Result: rules.ResultConnectFailed}, false
 			} else if e != nil {
-				if !began && !a.Begin() {
-					return servers.NeverBegan, true
-				}
 				return core.Outcome{Result: result(e, nil)}, stop()
 			}
 			p = c.statements[command.Statement]
