Have a newcomer wait for its place no longer than half of the shortest deadline

At a full room a newcomer waited up to 0.3 s for the place of one that was about to give way (room.go roomFor), whatever the deadlines: with 0.2 s it got its place after its request was over, or was told after more than half of its time, which is priced. Room.Waits now keeps the shortest deadline too, and enter waits for half of it at most, less the 0.05 s in which one that was let go closes. From deadlines of 0.7 s on nothing changes.

--- a/internal/clients/accept_test.go
+++ b/internal/clients/accept_test.go
@@ -196,3 +196,37 @@
 		return nil
 	})
 }
+
+// TestNewcomerWaitsHalfOfTheShortestDeadline: a place that is free 0.23 s after a newcomer came is one for it where deadlines are
+// of 1 s, and comes too late where they may be of 0.2 s: that client is told at once.
+func TestNewcomerWaitsHalfOfTheShortestDeadline(t *testing.T) {
+	for deadline, want := range map[time.Duration]bool{time.Second: true, 200 * time.Millisecond: false} {
+		inBubble(t, func() error {
+			rig := newRigFor(1, 1, false, &standin.Host{Primary: true})
+			defer rig.close()
+			rig.room.Waits(5 * time.Second)
+			rig.room.Waits(deadline)
+			a, err := rig.asker("postgres")
+			if err != nil {
+				return err
+			}
+			defer a.leave()
+			if r, err := a.ask("look", "a"); err != nil || r.Outcome != "served" {
+				return fmt.Errorf("%+v, %v", r, err)
+			}
+			time.Sleep(20 * time.Millisecond)
+			came, c := time.Now(), rig.connect()
+			defer c.Close()
+			go c.Write(greeting("b"))
+			buf := netbuf.New(c, pgwire.MaxMessage)
+			kind := byte(0)
+			for err == nil && kind != 'D' && kind != 'E' {
+				kind, _, err = pgwire.ReadMessage(buf)
+			}
+			if took := time.Since(came); err != nil || (kind == 'D') != want || !want && took > deadline/2 {
+				return fmt.Errorf("deadline %v: answered with %q after %v, %v", deadline, kind, took, err)
+			}
+			return nil
+		})
+	}
+}
--- a/internal/clients/rig_test.go
+++ b/internal/clients/rig_test.go
@@ -71,6 +71,7 @@
 	pool     *servers.Pool
 	counters *stats.Counters
 	pipes    *pipes
+	room     *clients.Room
 	budget   *netbuf.Budget
 	stop     context.CancelFunc // as SIGTERM does
 	kill     context.CancelFunc
@@ -84,8 +85,8 @@
 // newRigFor has places for a number of clients, and holds itself for one of so many gateways.
 func newRigFor(places, gateways int, mysqlFront bool, hosts ...*standin.Host) *rig {
 	r := &rig{mysql: mysqlFront, hosts: hosts, down: make([]atomic.Bool, len(hosts)), counters: &stats.Counters{},
-		budget: netbuf.NewBudget(rigBudget),
-		pipes:  &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, ended: make(chan error, 1)}
+		budget: netbuf.NewBudget(rigBudget), room: clients.NewRoom(places),
+		pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, ended: make(chan error, 1)}
 	work, kill := context.WithCancel(context.Background())
 	stopped, stop := context.WithCancel(context.Background())
 	r.stop, r.kill = stop, kill
@@ -107,7 +108,7 @@
 	if mysqlFront {
 		front = mysql.Front{}
 	}
-	s := &clients.Server{Name: "test", Front: front, Core: c, Room: clients.NewRoom(places), Budget: r.budget,
+	s := &clients.Server{Name: "test", Front: front, Core: c, Room: r.room, Budget: r.budget,
 		Counters: r.counters}
 	go func() { r.ended <- s.Run(stopped, r.pipes) }()
 	return r
--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	silentFor   = 100 * time.Millisecond // a client that has asked nothing yet gives way after this,
-	idleFor     = 250 * time.Millisecond // and another without an open request after this, the longest idle first
-	roomFor     = 300 * time.Millisecond // a new client waits so long at most for a place that is about to be free
-	roomLook    = 10 * time.Millisecond  // and so long for the one that was asked to leave, before the next is
-	mostThinned = 4                      // idle clients that are let go for each that comes to rest
-	mostLobby   = 8                      // clients that wait for a place or are being turned away at once
+	silentFor = 100 * time.Millisecond // a client that has asked nothing yet gives way after this,
+	idleFor   = 250 * time.Millisecond // and another without an open request after this, the longest idle first
+	roomFor   = 300 * time.Millisecond // a new client waits so long for a place that is about to be free, or half of the
+	//                                      shortest deadline: told then, it has time to try elsewhere
+	roomLook    = 10 * time.Millisecond // and so long for the one that was asked to leave, before the next is
+	mostThinned = 4                     // idle clients that are let go for each that comes to rest
+	mostLobby   = 8                     // clients that wait for a place or are being turned away at once
 )
 
 // Room is the places of all fronts' clients, a descriptor for each. Where none is left, a client that has nothing
@@ -28,7 +29,8 @@
 	mu       sync.Mutex
 	freed    chan struct{} // closed as a place is given back; nil while nobody waits for that
 	waiting  int           // newcomers that do
-	longest  time.Duration // any client's deadline
+	longest  time.Duration // any client's deadline,
+	shortest time.Duration // zero while none is known
 	sessions map[*Session]bool
 	ending   int  // of them, those that have been let go
 	keeps    bool // idle clients are not let go before there is no place left
@@ -54,10 +56,14 @@
 
 func (l lobby) leave() { <-l }
 
-// Waits tells of a class's deadline. The longest says how soon after a stop the process may be killed.
+// Waits tells of a class's deadline. The longest says how soon after a stop the process may be killed, the shortest how
+// long a new client may wait for its place.
 func (r *Room) Waits(deadline time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.shortest == 0 || deadline < r.shortest {
+		r.shortest = deadline
+	}
 	r.longest = max(r.longest, deadline)
 }
 
@@ -83,13 +89,17 @@
 func (r *Room) enter(x *Session) bool {
 	r.mu.Lock()
 	r.waiting++
+	wait := roomFor
+	if r.shortest > 0 {
+		wait = min(wait, max(0, r.shortest/2-letGoFor))
+	}
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
 		r.waiting--
 		r.mu.Unlock()
 	}()
-	for until := time.Now().Add(roomFor); ; {
+	for until := time.Now().Add(wait); ; {
 		now := time.Now()
 		entered, due, freed := r.try(x, now)
 		if entered || due.IsZero() || due.After(now) && due.After(until) || now.After(until.Add(letGoFor)) {
