Read what of a message had come by the end of its time

A read whose deadline has passed takes nothing, though the rest of the message may lie in the socket since long: a process that was held up for some moments ended the connection over a whole request (clients.go Next). Ruled out by tests beside it: what comes right before the last look, whole, begun or pipelined, idle and behind an answer, is answered; TCP_NODELAY is set on accepted, inherited and passed-on connections.

A message whose time is over is read once more, for 0.02 s.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -28,6 +28,7 @@
 	messageFor = 10 * time.Second        // and so long for the whole of any message that has begun,
 	startFor   = 2500 * time.Millisecond // but a client that has asked nothing yet only till this long after it came,
 	firstFor   = time.Second             // or for this long
+	lastRead   = 20 * time.Millisecond   // in which what had come by the end of these times is read
 	mostFaults = 16                      // messages in a row of which nothing can be made
 	logEvery   = time.Second             // a line about clients that are at fault
 )
@@ -239,6 +240,10 @@
 	}
 	x.SetReadDeadline(x.server.Room.plan.Load().Read(time.Now(), until))
 	err := read()
+	if errors.Is(err, os.ErrDeadlineExceeded) { // a time that has passed takes nothing, though the rest may lie there since long
+		x.SetReadDeadline(time.Now().Add(lastRead))
+		err = read()
+	}
 	x.arrived = time.Now()
 	if err != nil {
 		return x.gone(err)
