Listen again only once the listener before is closed

Where the process that clients were left to is gone, this one listens again at its address (Resume). The listener before was closed in the background, and is closed behind its backlog now, some 20 ms later: a return within that time found the address in use, and nobody listened any more.

TestListensAgainAtOnce: without the wait it fails 5 of 5 (address already in use in the first round), with it passes 20 of 20 with -race.

--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -108,7 +108,12 @@
 	if in.deadline(time.Now()) {
 		in.wait()
 	}
-	go in.Close() // see accept
+	ended := make(chan struct{})
+	go func() { in.Close(); close(ended) }() // see accept
+	select {
+	case <-ended:
+	case <-time.After(drainFor):
+	}
 	in.wait()
 	close(in.closed)
 }
@@ -205,6 +210,12 @@
 // Resume undoes Retire, as the other process is gone: clients that come wait for this one. A process that ends does not
 // listen again.
 func (s *Server) Resume() error {
+	s.mu.Lock()
+	in, retired := s.intake, s.retired
+	s.mu.Unlock()
+	if in != nil && retired {
+		<-in.closed // its address is free then; whoever waits in its backlog may need s.mu
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.retired || s.stopping {
--- a/internal/clients/accept_test.go
+++ b/internal/clients/accept_test.go
@@ -230,3 +230,42 @@
 		})
 	}
 }
+
+// TestListensAgainAtOnce has a server leave its clients to another process and take them again at once, twenty times: it listens
+// at its address again, where the listener before is closed behind its backlog, and serves.
+func TestListensAgainAtOnce(t *testing.T) {
+	rig := newRig(false, &standin.Host{Primary: true})
+	defer rig.close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &clients.Server{Name: "again", Front: postgres.Front{}, Core: rig.core, Room: clients.NewRoom(50),
+		Budget: netbuf.NewBudget(rigBudget), Counters: &stats.Counters{}}
+	stopped, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(stopped, l) }()
+	for i := range 20 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		p, err := standin.DialPostgres(c, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, err := p.Ask(fmt.Sprintf(look, fmt.Sprint("a", i))); err != nil || r.Outcome != "served" {
+			t.Fatalf("round %d: %+v, %v", i, r, err)
+		}
+		p.Close()
+		s.Retire()
+		if err := s.Resume(); err != nil {
+			t.Fatalf("round %d: %v", i, err)
+		}
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
