End after SIGTERM only past the longest deadline, also where that is over 3 s

A request that came before with a deadline of 5 s, whose host hung, was cut off unanswered: what a gateway that ends has taken and not answered is lost, while what came before and the kill finds is not.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -41,7 +41,9 @@
 	mostSockets = 1024                    // no more is used where the platform allows more
 	mostMemory  = 192                     // megabytes, likewise
 	tellFor     = 500 * time.Millisecond  // at the start, for what discovery holds; one that is silent keeps no gateway out
-	exitAfter   = 3600 * time.Millisecond // after a stop: past every deadline, and before the platform kills
+	exitAfter   = 3550 * time.Millisecond // after a stop: past deadlines of up to 3 s, and before the platform kills,
+	exitPast    = 550 * time.Millisecond  // or so long past a longer deadline: what was taken is not given up by ourselves;
+	exitLast    = 100 * time.Millisecond  // and this is left for answers that came due at once with it, in a process that was held up
 )
 
 // gateway is the running program.
@@ -189,7 +191,12 @@
 	select {
 	case err := <-ended:
 		return err
-	case <-time.After(exitAfter):
+	case <-time.After(max(exitAfter, g.room.Longest()+exitPast)):
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(exitLast):
 		log.Printf("event=stopped_with_clients")
 		return nil
 	}
--- a/internal/clients/away/away_test.go
+++ b/internal/clients/away/away_test.go
@@ -29,7 +29,7 @@
 
 // TestNewcomersAreAnsweredBeforeTheKill holds the plan for clients that come after the stop, for as long as the listener is
 // open and some may wait for a place, against the kill: also what begins to come in as their connection was about to end,
-// and is whole as late as it may be, has its answer 0.13 s before it, and 0.07 s before the process ends itself.
+// and is whole as late as it may be, has its answer 0.13 s before it, and 0.05 s before the process begins to end itself.
 func TestNewcomersAreAnsweredBeforeTheKill(t *testing.T) {
 	start := time.Unix(1000, 0)
 	for longest := 200 * time.Millisecond; longest <= 4*time.Second; longest += 100 * time.Millisecond {
--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -67,6 +67,13 @@
 	r.longest = max(r.longest, deadline)
 }
 
+// Longest is the longest of these deadlines.
+func (r *Room) Longest() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.longest
+}
+
 // Free is the share of places that no client holds.
 func (r *Room) Free() float64 {
 	r.mu.Lock()
