--- a/internal/clients/end_test.go
+++ b/internal/clients/end_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -178,3 +179,28 @@
 		t.Errorf("%d clients were let go for one", n)
 	}
 }
+
+// TestSlowReaderHasItAll: a client that reads nothing until the gateway has ended its connection, behind an answer longer than
+// both ends hold in hand, has the whole of it then, and a plain end.
+func TestSlowReaderHasItAll(t *testing.T) {
+	rig := newRig(false, &standin.Host{Primary: true})
+	defer rig.close()
+	near, far := loopback(t)
+	near.SetReadBuffer(4 << 10)
+	rig.pipes.conns <- far
+	p, err := standin.DialPostgres(near, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := strings.Repeat("k", 50<<10)
+	p.Write([]byte(pgQuery("/* id=long,c=look,d=1000,cluster=4 */ SELECT v FROM records WHERE k = '" + key + "'")))
+	rig.stop()
+	err = <-rig.ended
+	rig.ended <- err
+	if r, err := p.Read(); err != nil || r.Value != "value of "+key {
+		t.Errorf("%d bytes, %v", len(r.Value), err)
+	}
+	if _, err := p.Read(); !errors.Is(err, io.EOF) {
+		t.Errorf("the client sees %v in place of a plain end", err)
+	}
+}
--- a/internal/clients/stream_test.go
+++ b/internal/clients/stream_test.go
@@ -137,3 +137,30 @@
 		})
 	}
 }
+
+// TestLongValueAtAStop stops the gateway in the middle of a value whose host pauses for longer than idle connections last:
+// the client has the whole of it, and then its connection ends.
+func TestLongValueAtAStop(t *testing.T) {
+	want := longAnswer(longValue)
+	inBubble(t, func() error {
+		rig := newRig(false, &standin.Host{Primary: true, Spoil: func(string, []byte) standin.Spoilt {
+			return standin.Spoilt{Answer: want[:longValue/2], After: 2500 * time.Millisecond, Surplus: want[longValue/2:]}
+		}})
+		a, err := rig.long("long")
+		if err != nil {
+			return err
+		}
+		head := make([]byte, 1000)
+		if _, err := io.ReadFull(a.pg.Conn.Conn, head); err != nil {
+			return err
+		}
+		rig.stop()
+		rest, err := io.ReadAll(a.pg.Conn.Conn)
+		told := bytes.LastIndex(want, []byte("S\x00\x00\x00"))
+		whole := append(bytes.Clone(want[:told]), "Z\x00\x00\x00\x05I"...)
+		if got := append(head, rest...); err != nil || !bytes.Equal(got, whole) {
+			return fmt.Errorf("%d bytes came, not the %d of the host, and %v", len(got), len(whole), err)
+		}
+		return rig.close()
+	})
+}
