--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -37,7 +37,9 @@
 const (
 	mostMemory = 192                     // megabytes; no more is used where the platform allows more
 	tellFor    = 500 * time.Millisecond  // at the start, for what discovery holds; one that is silent keeps no gateway out
-	exitAfter  = 3600 * time.Millisecond // after a stop: past every deadline, and before the platform kills
+	exitAfter  = 3550 * time.Millisecond // after a stop: past deadlines of up to 3 s, and before the platform kills,
+	exitPast   = 550 * time.Millisecond  // or so long past a longer deadline: what was taken is not given up by ourselves;
+	exitLast   = 100 * time.Millisecond  // and this is left for answers that came due at once with it, in a process that was held up
 )
 
 // gateway is the running program.
@@ -176,7 +178,6 @@
 	g.actors.Go(func() error { g.reloads(changed, reread); return nil })
 	g.status.Set(balancers.Ready)
 	g.passOn()
-	log.Printf("event=serving fronts=%d memory_mb=%d sockets=%d clients=%d servers=%d", len(fleets), limits.MemoryMB, d.limit, d.clients, d.servers)
 	<-stop.Done()
 	g.status.Set(balancers.Draining)
 	log.Printf("event=stopping")
@@ -188,7 +189,12 @@
 	select {
 	case err := <-ended:
 		return err
-	case <-time.After(exitAfter):
+	case <-time.After(max(exitAfter, g.room.Longest()+exitPast)):
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(exitLast):
 		log.Printf("event=stopped_with_clients")
 		return nil
 	}
