Hold the ramp of cold hosts for the fleet: flow by warm hosts, less budget saved up

Seen in a new play of 20 and 30 uneven gateways in virtual time, calls beyond N + 2 root of N + 2: up to 8 where all had saved up one request each and the window is 0.4 s, and up to 24 (twice N) where six of ten hosts are replaced in turn, with any window. At fault in coldRoom: credit was kept without end, so what was held everywhere went at once; and all answered work, that of cold hosts and of those lost since among it, was shared out among the hosts warm now. Ruled out: gateways that have just restarted.

Work answered counts where a warm host answered it, shared out among those warm then. Unused budget is kept only as far as chance allows while the wants of a window, with half of what may be held, could push the host over. The least flow comes from the longest hold; hosts smaller than the warm ones get less.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -76,6 +76,7 @@
 	members     *memberDay
 	gateways    *gatewayDay
 	long        bool      // a long day of which nothing may be left
+	ramp        bool      // days of cold hosts
 	fleet       *fleetDay // a day of a whole fleet; nil: of a zone
 }
 
@@ -250,7 +251,7 @@
 		return nil, fmt.Errorf("%d seeds are too few", o.Seeds)
 	}
 	switch {
-	case (e.fleet != nil || e.long) && o.Program != "":
+	case (e.fleet != nil || e.long || e.ramp) && o.Program != "":
 		return nil, fmt.Errorf("%s is played in virtual time alone", e.Name)
 	case e.gateways != nil && o.Program == "":
 		return nil, fmt.Errorf("%s is played with processes alone", e.Name)
@@ -263,6 +264,8 @@
 			return e.runProcesses(ctx, o)
 		}
 		return e.runMembers(ctx, o)
+	case e.ramp:
+		return e.runRamp(ctx, o)
 	case e.long:
 		return e.soak(ctx, o)
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -9,6 +9,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -38,6 +39,8 @@
 	KeepAs   int                // the number of gateways by which idle connections are kept; 0: all that there are
 	Break    Break              // what is broken on purpose
 	Skew     map[string]float64 // factor on the rate of gateways of a zone
+	Uneven   bool               // gateways have from a third to over three times of the mean traffic
+	Bear     bool               // cold hosts bear all that they are sent: the judge counts it
 }
 
 // FaultKind is what befalls a zone or a host.
@@ -62,6 +65,7 @@
 	Kind    FaultKind
 	Zone    string // all hosts of a zone; empty: see Host
 	Host    string
+	Number  int // of the host, from 1 on, where it is not named; 0: see Share
 	At, For time.Duration
 	Cold    bool    // hosts start anew at the end, cold, their logs where they stood
 	But     int     // this many hosts of the zone are spared
@@ -217,6 +221,16 @@
 	for i := range s.Gateways {
 		f.gateways = append(f.gateways, newGateway(f, i, rand.New(rand.NewPCG(seed, 100+uint64(i)))))
 	}
+	if s.Uneven {
+		sum := 0.0
+		for _, g := range f.gateways {
+			g.part = 0.3 + 3*math.Pow(d.Float64(), 4)
+			sum += g.part
+		}
+		for _, g := range f.gateways {
+			g.part *= float64(s.Gateways) / sum
+		}
+	}
 	for _, x := range s.Faults {
 		f.after(x.At, func() { f.begin(x) })
 		f.after(x.At+x.For, func() { f.finish(x) })
@@ -239,8 +253,8 @@
 		if h.removed || i >= f.Hosts {
 			continue
 		}
-		drawn := x.Host == "" && x.Zone == "" && int(float64(i+1)*x.Share) > int(float64(i)*x.Share)
-		if h.id == x.Host || x.Zone != "" && h.zone == x.Zone || drawn {
+		drawn := x.Host == "" && x.Zone == "" && x.Number == 0 && int(float64(i+1)*x.Share) > int(float64(i)*x.Share)
+		if h.id == x.Host || x.Number == i+1 || x.Zone != "" && h.zone == x.Zone || drawn {
 			if spared--; spared < 0 {
 				out = append(out, h)
 			}
@@ -304,6 +318,14 @@
 	}
 }
 
+// meanWork is the work of a request in the mean, in seconds.
+func (f *fleet) meanWork() (mean float64) {
+	for _, c := range classes {
+		mean += c.part * f.scale * (c.from + c.to).Seconds() / 2
+	}
+	return mean
+}
+
 // tick moves the logs and looks after failovers.
 func (f *fleet) tick() {
 	for _, g := range f.groups {
@@ -487,7 +509,7 @@
 
 // takes adds work to what a cold host was sent and says whether it tips over.
 func (h *host) takes(work time.Duration) {
-	if h.speed() >= 1 || h.slow {
+	if h.speed() >= 1 || h.slow || h.f.Bear {
 		return
 	}
 	h.heap = slices.DeleteFunc(h.heap, func(s sent) bool { return s.at < h.f.now-tipAfter })
@@ -505,6 +527,7 @@
 
 // arrive takes an attempt whose last byte has come.
 func (h *host) arrive(a *attempt, work time.Duration) {
+	h.f.judge.cold(h, a.g, 1)
 	h.takes(work)
 	if !h.up {
 		return
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -18,6 +18,7 @@
 	f        *fleet
 	number   int
 	zone     string
+	part     float64 // of the mean traffic
 	router   *rules.Router
 	cfg      rules.Config
 	keeper   *keep.Keeper
@@ -94,7 +95,7 @@
 }
 
 func newGateway(f *fleet, n int, arrivals *rand.Rand) *gateway {
-	g := &gateway{f: f, number: n, zone: f.Zones[n%len(f.Zones)], arrivals: arrivals, pools: map[*host]*pool{},
+	g := &gateway{f: f, number: n, part: 1, zone: f.Zones[n%len(f.Zones)], arrivals: arrivals, pools: map[*host]*pool{},
 		hosts: map[string]*host{}, requests: map[uint64]*request{}}
 	cfg := rules.Config{Gateways: f.Gateways, Zone: g.zone, Guards: f.Guards, CatchUpWait: catchUpWait, Positions: true,
 		ListRole: rules.ListRoleLate, MayCancel: true, MayDuplicate: true, MayProbe: true, MaxAttempts: 6,
@@ -165,7 +166,7 @@
 	if g.closed {
 		return
 	}
-	rate := f.Rate * f.skew(g.zone) * (1 + f.rush)
+	rate := f.Rate * f.skew(g.zone) * g.part * (1 + f.rush)
 	f.after(time.Duration(r.ExpFloat64()/rate*float64(time.Second)), g.arrive)
 	pick, n := r.Float64(), 0
 	for ; n < len(classes)-1 && pick >= classes[n].part; n++ {
@@ -508,6 +509,7 @@
 			return
 		}
 		life := h.life
+		f.judge.cold(h, g, probeCost.Seconds()/f.meanWork())
 		f.after(2*g.distance(h)+probeCost, func() {
 			if h.cut > 0 || process != g.life {
 				return
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -28,6 +28,7 @@
 	fullest          int // connections at one host, at most
 	late             int // answers that came lateSlack after the client's time, on sockets
 	broken           int // requests that ended with their gateway's process
+	ramps            map[*host]*ramp
 	connects, noRoom int // connections that came up and stayed, and that were ended with a refusal
 }
 
@@ -50,7 +51,7 @@
 }
 
 func newJudge(f *fleet) *Judge {
-	return &Judge{f: f, runs: map[*request]int{}, bound: map[*gateway]map[*host]time.Duration{}}
+	return &Judge{f: f, runs: map[*request]int{}, bound: map[*gateway]map[*host]time.Duration{}, ramps: map[*host]*ramp{}}
 }
 
 func (j *Judge) note(format string, args ...any) {
@@ -66,6 +67,7 @@
 	if j.bound[g] == nil {
 		j.bound[g] = map[*host]time.Duration{}
 	}
+	j.knows(g, g.hosts[e.Member], e.StartedAt)
 	if e.Phase == rules.PhaseOn {
 		delete(j.bound[g], g.hosts[e.Member])
 	} else if _, ok := j.bound[g][g.hosts[e.Member]]; !ok {
--- a/rules/choose.go
+++ b/rules/choose.go
@@ -16,8 +16,7 @@
 }
 
 // reached is the position that a member has. Where members check reads, its lag is presumed to be what it was
-// when last heard, as long as a primary lives: that guards against reads piling onto the primary and the
-// few members heard just now, as a quiet gateway hears most too seldom; a miss corrects a wrong guess.
+// when last heard, as long as a primary lives: a quiet gateway hears most seldom. A miss corrects a guess.
 func (r *Router) reached(m *member) int64 {
 	p := m.group.primary()
 	if r.cfg.Guards == GuardNone || p == nil || r.suspect(p) {
@@ -34,8 +33,7 @@
 	return need <= 0 || r.reached(m) >= need || m == q.group.primary()
 }
 
-const tieMargin = 0.1     // products this near to the best are a tie: noise of the window
-const primarySpare = 0.85 // chance at the primary below which other reads keep off it
+const tieMargin, primarySpare = 0.1, 0.85 // noise of products; chance below which reads keep off the primary
 
 // choose finds the place for a request; nil holds it. Where none is fresh and the primary has no room but
 // members check, it is the most advanced that can have caught up since it was heard, at twice time's pace.
@@ -44,10 +42,8 @@
 		return r.choosePrimary(q)
 	}
 	p, top := q.group.primary(), 0.0
-	if r.zones != nil {
-		r.zones.Forget()
-	}
-	var fit, tied []*member
+	r.forgetZones()
+	var fit []*member
 	var tried, hope *member
 	for _, m := range q.group.members {
 		switch suspect := r.suspect(m); {
@@ -73,11 +69,9 @@
 	if tried != nil && r.trial(q, tried) {
 		return tried
 	}
-	for _, m := range fit {
-		if m != p && m.value >= top*(1-tieMargin) {
-			tied = append(tied, m)
-		}
-	}
+	tied := slices.DeleteFunc(slices.Clone(fit), func(m *member) bool {
+		return m == p || m.value < top*(1-tieMargin)
+	})
 	if len(tied) == 0 {
 		return p
 	}
@@ -94,8 +88,7 @@
 
 const tierCrowd = 1.0 // attempts by which a preferred tier may be fuller than others
 
-// prefer keeps of near-ties those in the tier that the stated shares draw. Usable in a tier is what is tied:
-// fresh, not suspect, as good as any. So a tier that is full spills over, and none makes a stale member fit.
+// prefer keeps of near-ties those in the tier that the stated shares draw; one that is full spills over.
 func (r *Router) prefer(g *group, p *member, tied []*member) []*member {
 	if r.zones == nil || !r.zones.Tiered() {
 		return tied
--- a/rules/cold.go
+++ b/rules/cold.go
@@ -8,7 +8,7 @@
 
 // warmth is the share of its capacity that a member has at the least.
 func (r *Router) warmth(m *member) float64 {
-	if m.startedAt <= 0 || r.now >= m.startedAt+r.cfg.ColdFor {
+	if m.startedAt <= 0 || r.cfg.ColdFor <= 0 || r.now >= m.startedAt+r.cfg.ColdFor {
 		return 1
 	}
 	return r.cfg.ColdFrom + (1-r.cfg.ColdFrom)*float64(max(0, r.now-m.startedAt))/float64(r.cfg.ColdFor)
@@ -16,17 +16,30 @@
 
 const flowOver = 10 * time.Second // answered work is averaged over this: a quiet gateway has little
 
-// flowNow is the work a second that members have answered us lately.
-func (r *Router) flowNow() float64 {
-	return r.flow * math.Exp(-float64(r.now-r.flowAt)/float64(flowOver))
+// flowed takes work that a member has answered. Shared out among the warm ones as they are then, it is what
+// one of them takes of our traffic, whoever comes or goes later; cold ones tell only where no other does.
+func (r *Router) flowed(m *member, work time.Duration) {
+	if warm, _ := r.warm(); warm == 0 || r.warmth(m) >= 1 {
+		r.flow.add(r.now, flowOver, work.Seconds()/flowOver.Seconds()/cmp.Or(warm, float64(len(r.sorted)), 1))
+	}
+}
+
+// warm is the number of members that are warm and answer, and the sum of their sizes.
+func (r *Router) warm() (n, size float64) {
+	for _, x := range r.sorted {
+		if r.warmth(x) >= 1 && !r.suspect(x) {
+			n, size = n+1, size+x.size
+		}
+	}
+	return n, size
 }
 
 const coldSafety = 0.85 // share of the tipping budget used: gateways see unequal load
 
 // coldRoom keeps cold members from being pushed over: all gateways may together send a multiple of present
-// capacity in a window. What warm members answer us is our part of theirs; the same multiple of it, scaled to
-// the warmth, is our part of the budget. It is saved up from a random debt of up to one request: with one
-// request free to each, hundreds of gateways would push the member over together.
+// capacity in a window. What a warm member answers us, scaled to warmth and size, is our part. It is earned
+// from a random debt of up to one request, and saved up only as far as chance allows while the fleet's wants,
+// with what is held till a primary is named, could push the member over if they came at once.
 func (r *Router) coldRoom(m *member, work time.Duration) bool {
 	share := r.warmth(m)
 	if share >= 1 {
@@ -35,16 +48,20 @@
 	if m.creditAt == 0 {
 		m.credit, m.creditAt = -r.rng.Float64()*work.Seconds(), r.now
 	}
+	held := time.Duration(heldAtMost * float64(r.cfg.longest()))
 	known := min(1, max(r.now-r.startAt, r.cfg.TipAfter).Seconds()/flowOver.Seconds()) // a new gateway's flow
-	warm := 0
-	for _, x := range r.sorted {
-		if r.warmth(x) >= 1 && !r.suspect(x) {
-			warm++
-		}
+	least := work.Seconds() / max(r.cfg.TipAfter, held).Seconds() / float64(len(r.sorted))
+	rate := r.cfg.TipMultiple * coldSafety * share * max(r.flow.now(r.now, flowOver)/known, least)
+	if n, size := r.warm(); size > 0 && m.size > 0 {
+		rate *= min(1, m.size*n/size) // sizes may be rough, or shrink under load
 	}
-	flow := max(r.flowNow()/known, work.Seconds()/r.cfg.TipAfter.Seconds())
-	flow /= float64(cmp.Or(warm, len(r.sorted)))
-	m.credit = min(0, m.credit+r.cfg.TipMultiple*coldSafety*share*flow*(r.now-m.creditAt).Seconds())
+	m.credit += rate * (r.now - m.creditAt).Seconds()
 	m.creditAt = r.now
+	kept, fleet := 1.0, float64(r.cfg.Gateways)
+	if 2*r.cfg.TipMultiple*share*r.cfg.TipAfter.Seconds() < (r.cfg.TipAfter + held).Seconds() {
+		n := rate / work.Seconds() * r.cfg.TipAfter.Seconds() * fleet
+		kept = min(1, ((1-coldSafety)*n+math.Sqrt(n)/2+2)/fleet)
+	}
+	m.credit -= work.Seconds() * max(0, math.Ceil(m.credit/work.Seconds()-kept))
 	return m.credit >= 0
 }
--- a/rules/cold_test.go
+++ b/rules/cold_test.go
@@ -96,7 +96,7 @@
 	for range 5000 {
 		b.now += ms
 		b.r.wake(b.now)
-		b.r.flow, b.r.flowAt, b.r.startAt = 2, b.now, 0 // warm members answer 1 s of work a second each
+		b.r.flow, b.r.startAt = decaying{1, b.now}, 0 // warm members answer 1 s of work a second each
 		ordinary += b.r.warmth(m) * 0.001
 		if b.r.coldRoom(m, 5*ms) {
 			m.credit -= 0.005
@@ -131,7 +131,7 @@
 	for now := 100 * time.Second; now < 106*time.Second; now += 10 * ms {
 		for i, b := range fleet {
 			b.r.now = now
-			b.r.flow, b.r.flowAt, b.r.startAt = part[i]/sum*perMember*(members-1)*work.Seconds(), now, 0
+			b.r.flow, b.r.startAt = decaying{part[i] / sum * perMember * work.Seconds(), now}, 0
 			if m := b.r.members["cold"]; b.r.coldRoom(m, work) {
 				m.credit -= work.Seconds()
 				sent = append(sent, now)
@@ -150,3 +150,29 @@
 		t.Errorf("%d requests in a window: the budget is not used", most)
 	}
 }
+
+// TestSmallColdMemberHasASmallBudget has cold members of the size of the warm ones, of half of it, and of twice: what one
+// bears goes with its size, and a size that may be rough earns no more than a warm one's.
+func TestSmallColdMemberHasASmallBudget(t *testing.T) {
+	sent := map[float64]int{}
+	for _, size := range []float64{0, 0.5, 1, 2} {
+		b := newRig(t, config(), Entry{Member: "a", Group: 1, Leader: true, Size: 1}, Entry{Member: "b", Group: 1, Size: 1},
+			Entry{Member: "c", Group: 1, Size: size, StartedAt: 100 * time.Second})
+		b.told("a", 10*ms)
+		for range 5000 {
+			b.now += ms
+			b.r.wake(b.now)
+			b.r.flow, b.r.startAt = decaying{1, b.now}, 0
+			if m := b.r.members["c"]; b.r.coldRoom(m, 5*ms) {
+				m.credit -= 0.005
+				sent[size]++
+			}
+		}
+	}
+	if x := float64(sent[0.5]) / float64(sent[1]); x < 0.45 || x > 0.55 {
+		t.Errorf("half the size is sent %.2f of what a whole one is", x)
+	}
+	if sent[2] != sent[1] || sent[0] != sent[1] {
+		t.Errorf("sent by size: %v", sent)
+	}
+}
--- a/rules/events.go
+++ b/rules/events.go
@@ -51,10 +51,8 @@
 // Outcome takes the end of an attempt.
 func (r *Router) Outcome(now time.Duration, o Outcome) {
 	r.wake(now)
-	q, i := r.requests[o.Request], -1
-	if q != nil {
-		i = slices.IndexFunc(q.out, func(x *attempt) bool { return x.number == o.Attempt })
-	}
+	q := r.requests[o.Request]
+	i := q.find(o.Attempt)
 	if i < 0 {
 		return
 	}
--- a/rules/evidence.go
+++ b/rules/evidence.go
@@ -31,14 +31,12 @@
 	if role != RoleUnknown {
 		r.learnRole(m, role, max(date, m.roleDate))
 	}
-	if r.zones != nil && o.Result != ResultTimeout && o.Result != ResultCancelled && !away(o.Result) {
-		r.zones.Spare(m.at, a.sentAt)
-	}
+	r.spare(a, o.Result)
 	switch o.Result {
 	case ResultOK:
 		r.hear(m, o.Opened)
 		m.group.vain -= vainGain * m.group.vain
-		r.flow, r.flowAt = r.flowNow()+a.work.Seconds()/flowOver.Seconds(), r.now
+		r.flowed(m, a.work)
 		r.addSample(m, sample{at: r.now, ratio: ratio})
 		u := a.q.usual
 		w, since := &r.work[a.q.Class], float64(r.now-r.workAt[a.q.Class])/float64(workOver)
--- a/rules/helpers.go
+++ b/rules/helpers.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -40,6 +41,38 @@
 	k.positions[session] = max(position, k.positions[session])
 }
 
+// decaying is a sum of which older parts count ever less: a part counts 1/e of itself after a time.
+type decaying struct {
+	sum float64
+	at  time.Duration
+}
+
+// now is the sum as of a time.
+func (d decaying) now(at, over time.Duration) float64 {
+	return d.sum * math.Exp(-float64(at-d.at)/float64(over))
+}
+
+// add adds a part.
+func (d *decaying) add(at, over time.Duration, part float64) {
+	d.sum, d.at = d.now(at, over)+part, at
+}
+
+// find is the place of an attempt that is out; -1 if it is none, or there is no request.
+func (q *request) find(number int) int {
+	if q == nil {
+		return -1
+	}
+	return slices.IndexFunc(q.out, func(x *attempt) bool { return x.number == number })
+}
+
+// longest is the longest time that clients wait.
+func (c *Config) longest() (most time.Duration) {
+	for _, k := range c.Classes {
+		most = max(most, k.Deadline)
+	}
+	return most
+}
+
 // ms gives a clock time as a position, rounded up.
 func (r *Router) ms(t time.Duration) int64 {
 	return int64((t - r.cfg.PositionZero + time.Millisecond - 1) / time.Millisecond)
--- a/rules/learned.go
+++ b/rules/learned.go
@@ -15,7 +15,8 @@
 	Usual, Work          []time.Duration // by class
 	WorkAt               []time.Duration
 	Replicas, Primaries  []LearnedSample // the pooled round trips
-	Flow, Worth, Weight  float64
+	MemberFlow           float64         // work answered a second by a warm member; older versions told that of all as Flow
+	Worth, Weight        float64
 	FlowAt, StartAt      time.Duration
 	TightUntil           time.Duration
 	Searches             map[int]time.Duration // by group: when a request last wanted its primary in vain
@@ -48,7 +49,7 @@
 func (r *Router) Learned() Learned {
 	l := Learned{Members: map[string]LearnedMember{}, Usual: slices.Clone(r.usual), Work: slices.Clone(r.work),
 		WorkAt: slices.Clone(r.workAt), Replicas: exported(r.pools[false]),
-		Primaries: exported(r.pools[true]), Flow: r.flow, Worth: r.worth, Weight: r.weight, FlowAt: r.flowAt, StartAt: r.startAt,
+		Primaries: exported(r.pools[true]), MemberFlow: r.flow.sum, Worth: r.worth, Weight: r.weight, FlowAt: r.flow.at, StartAt: r.startAt,
 		TightUntil: r.tightUntil, Searches: map[int]time.Duration{}, Vain: map[int]float64{}, FurtherTries: r.tokens, Probes: r.probes}
 	for id, g := range r.groups {
 		l.Vain[id] = g.vain
@@ -75,7 +76,7 @@
 	copy(r.work, l.Work)
 	copy(r.workAt, l.WorkAt)
 	r.pools[false], r.pools[true] = imported(l.Replicas), imported(l.Primaries)
-	r.flow, r.flowAt, r.startAt = l.Flow, l.FlowAt, min(r.startAt, l.StartAt)
+	r.flow, r.startAt = decaying{l.MemberFlow, l.FlowAt}, min(r.startAt, l.StartAt)
 	r.worth, r.weight, r.tokens, r.probes, r.tightUntil = l.Worth, l.Weight, l.FurtherTries, l.Probes, l.TightUntil
 	for id, at := range l.Searches {
 		if g := r.groups[id]; g != nil {
--- a/rules/learned_test.go
+++ b/rules/learned_test.go
@@ -50,7 +50,7 @@
 	}
 	other := newRig(t, func() Config { c := config(); c.Classes = c.Classes[:2]; return c }())
 	other.r.Learn(l) // of another configuration: nothing of it is taken, and nothing breaks
-	if other.r.flow != 0 {
+	if other.r.flow.sum != 0 {
 		t.Error("what was learned under other classes is taken over")
 	}
 	other.pass(time.Second)
--- a/rules/lists.go
+++ b/rules/lists.go
@@ -47,10 +47,7 @@
 		m.failed, m.lost, m.window, m.creditAt, m.down = 0, 0, nil, 0, false // a new process
 	}
 	drained := e.Phase == PhaseDraining || m.drained && e.StartedAt <= m.startedAt // no old list undoes it
-	if r.zones != nil {
-		m.at = r.zones.Zone(e.Zone)
-	}
-	m.zone, m.size, m.startedAt = e.Zone, e.Size, max(e.StartedAt, m.startedAt)
+	m.zone, m.at, m.size, m.startedAt = e.Zone, r.zone(e.Zone), e.Size, max(e.StartedAt, m.startedAt)
 	m.usable, m.drained = e.Phase == PhaseOn && !drained, drained
 	r.hint(m, e.Leader, kind)
 }
--- a/rules/router.go
+++ b/rules/router.go
@@ -1,7 +1,6 @@
 package rules
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -10,51 +9,41 @@
 
 // Router decides for one gateway.
 type Router struct {
-	cfg                      Config
-	gw                       Gateway
-	rng                      *rand.Rand
-	zones                    *zones.Zones // nil: off
-	members                  map[string]*member
-	sorted                   []*member
-	groups                   map[int]*group
-	requests                 map[uint64]*request
-	open                     []*request        // in order of arrival
-	usual, work, workAt      []time.Duration   // by class: round trips in the mean, and the work in them
-	pools                    map[bool][]sample // round trips at primaries (true), and at all others
-	tokens, probes           float64           // budgets of further attempts and of probes
-	asked                    []float64         // requests of each tenant, older ones counting less
-	flow                     float64           // work answered a second, as of flowAt
-	marks                    marks             // remembered session commits
-	listed, asking, followed bool              // a list has come; a call to discovery is out; subscribed
-	worth, weight            float64           // worth and usual of a request in the mean of our traffic
-	sweepAt, lookAt          time.Duration     // the next sweep, and the next look at members
-	tightUntil               time.Duration     // members are taken to be short of connections
-	probeNext                int
+	cfg                           Config
+	gw                            Gateway
+	rng                           *rand.Rand
+	zones                         *zones.Zones // nil: off
+	members                       map[string]*member
+	sorted                        []*member
+	groups                        map[int]*group
+	requests                      map[uint64]*request
+	open                          []*request        // in order of arrival
+	usual, work, workAt           []time.Duration   // by class: round trips in the mean, and the work in them
+	pools                         map[bool][]sample // round trips at primaries (true), and at all others
+	tokens, probes, worth, weight float64           // budgets of tries and probes; mean worth and usual
+	asked                         []float64         // requests of each tenant, older ones counting less
+	flow                          decaying          // work answered a second by a warm member
+	marks                         marks             // remembered session commits
+	listed, asking, followed      bool              // a list has come; a call to discovery is out; subscribed
+	sweepAt, lookAt, tightUntil   time.Duration     // next sweep, and look at members; they lack room
+	probeNext                     int
 
-	now, awakeAt, startAt, flowAt, askedAt, askAfter time.Duration
+	now, awakeAt, startAt, askedAt, askAfter time.Duration
 }
 
 const firstUsual = 0.25 // usual before any answer, as a share of the aim
 
 // New starts a gateway's decisions.
 func New(now time.Duration, cfg Config, seed uint64, gw Gateway) (*Router, error) {
-	if len(cfg.Classes) == 0 || cfg.Gateways < 1 || cfg.MaxAttempts < 1 {
-		return nil, fmt.Errorf("configuration: Classes, Gateways and MaxAttempts must be set")
+	judged, err := cfg.check(seed)
+	if err != nil {
+		return nil, err
 	}
-	r := &Router{cfg: cfg, gw: gw, now: now, startAt: now, flowAt: now, rng: rand.New(rand.NewPCG(seed, 0)),
+	r := &Router{cfg: cfg, gw: gw, now: now, startAt: now, zones: judged, rng: rand.New(rand.NewPCG(seed, 0)),
 		members: map[string]*member{}, pools: map[bool][]sample{}, asked: make([]float64, len(cfg.Tenants)),
 		groups: map[int]*group{}, requests: map[uint64]*request{}, tokens: retryBurst / 2, askAfter: askAgain}
-	if cfg.Zones != nil {
-		var err error
-		if r.zones, err = zones.New(*cfg.Zones, seed); err != nil {
-			return nil, fmt.Errorf("configuration: %w", err)
-		}
-	}
 	for i, c := range cfg.Classes {
-		if c.Aim <= 0 || c.Deadline <= 0 {
-			return nil, fmt.Errorf("configuration: class %d (%s) needs Aim and Deadline", i, c.Name)
-		}
-		r.usual = append(r.usual, time.Duration(float64(c.Aim)*firstUsual))
+		r.usual = append(r.usual, time.Duration(float64(min(c.Aim, c.Deadline))*firstUsual))
 		r.work, r.workAt = append(r.work, r.usual[i]), append(r.workAt, now)
 	}
 	r.setTimer()
--- a/rules/zones.go
+++ b/rules/zones.go
@@ -55,6 +55,35 @@
 	}
 }
 
+// zone is a member's zone; nil where zones are not judged.
+func (r *Router) zone(name string) *zones.Zone {
+	if r.zones == nil {
+		return nil
+	}
+	return r.zones.Zone(name)
+}
+
+// forgetZones drops what was drawn for the placing before.
+func (r *Router) forgetZones() {
+	if r.zones != nil {
+		r.zones.Forget()
+	}
+}
+
+// placed counts where a request went, unless that was a search for the primary.
+func (r *Router) placed(a *attempt) {
+	if r.zones != nil && a != nil && (!a.q.atPrimary || a.m == a.q.group.primary()) {
+		r.zones.Placed(a.m.at.Tier())
+	}
+}
+
+// spare notes that a member's zone has answered an attempt.
+func (r *Router) spare(a *attempt, result Result) {
+	if r.zones != nil && result != ResultTimeout && result != ResultCancelled && !away(result) {
+		r.zones.Spare(a.m.at, a.sentAt)
+	}
+}
+
 // away says that a result shows nothing of a member but that it could not be reached.
 func away(r Result) bool { return r == ResultConnectFailed || r == ResultReset || r == ResultMoot }
 
