Begin no repeat past its window, and no bounded read once its host's data is too old

A repeat of a keyed request was sent inside its window, and could wait for a connection (up to 1.5 s where these come up late) until the request's own end: Attempt.Begin looked at drains and ends, not at the window. Likewise a bounded read where hosts do not check: the position was held against the bound when it was sent, and not when it began. At fault: Send in rules and core, which knew the end of the wait alone.

Send carries beginBy; the module bounds it by the window and by the age of what the host is known to have (repeatBy, beginBy in rules/attempts.go). A timer ends the wait then, and Begin is the last check where the module's actor is busy.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -33,6 +33,8 @@
 	cancel context.CancelFunc
 
 	timeout *timer
+	latest  time.Duration // it has to have begun before this; 0: whenever it can
+	unbegun *timer        // ends it then if it still waits
 	first   time.Duration // how long the answer's first byte took, where it streams
 }
 
@@ -50,8 +52,26 @@
 func (a *Attempt) Context() context.Context { return a.ctx }
 
 // Begin is the last check before the first byte: false says that the attempt is over and must not be written.
-// It guards against sends to a host that began to drain, or for a request that ended, while it waited.
-func (a *Attempt) Begin() bool { return a.state.CompareAndSwap(waits, begun) }
+// It guards against sends to a host that began to drain, for a request that ended, or past the window for repeats, while
+// it waited.
+func (a *Attempt) Begin() bool {
+	if a.latest > 0 && a.core.clock.now() >= a.latest {
+		a.state.CompareAndSwap(waits, over)
+		return false
+	}
+	return a.state.CompareAndSwap(waits, begun)
+}
+
+// within gives an attempt the time before which it has to begin.
+func (a *Attempt) within(latest time.Duration) {
+	a.latest = latest
+	a.unbegun = a.core.timers.add(latest, func() { a.neverBegins(rules.ResultMoot) })
+}
+
+// neverBegan ends the wait of an attempt, and says whether no byte of it has been or will be written.
+func (a *Attempt) neverBegan() bool {
+	return a.state.CompareAndSwap(waits, over) || a.state.Load() == over
+}
 
 // Waiting says whether the attempt still wants a connection.
 func (a *Attempt) Waiting() bool { return a.state.Load() == waits }
@@ -106,7 +126,7 @@
 
 // neverBegins ends an attempt that waits for a connection; it does nothing to one that has begun.
 func (a *Attempt) neverBegins(result rules.Result) {
-	if !a.closed && a.state.CompareAndSwap(waits, over) {
+	if !a.closed && a.neverBegan() {
 		a.finish(Outcome{Result: result})
 	}
 }
@@ -116,7 +136,7 @@
 	if a.closed {
 		return
 	}
-	if a.state.CompareAndSwap(waits, over) {
+	if a.neverBegan() {
 		result = rules.ResultMoot
 	}
 	a.finish(Outcome{Result: result})
@@ -135,6 +155,9 @@
 	a.closed = true
 	a.cancel()
 	a.timeout.cancel()
+	if a.unbegun != nil {
+		a.unbegun.cancel()
+	}
 	c.ended = append(c.ended, func() {
 		if a.Request == nil {
 			c.router.Probed(c.now, rules.ProbeResult{Member: a.Member, Result: o.Result, Took: c.now - a.sentAt,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -441,7 +441,7 @@
 type gateway Core
 
 // Send starts the next attempt of a request.
-func (g *gateway) Send(id uint64, member string, abandonAt time.Duration) {
+func (g *gateway) Send(id uint64, member string, abandonAt, beginBy time.Duration) {
 	c := (*Core)(g)
 	q := c.requests[id]
 	if q == nil {
@@ -452,6 +452,9 @@
 		abandonAt = q.deadline
 	}
 	a := c.attempt(q, member, abandonAt)
+	if beginBy < abandonAt {
+		a.within(beginBy)
+	}
 	a.number = q.sent
 	q.sent++
 	q.out = append(q.out, a)
--- /dev/null
+++ b/internal/core/window_test.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cranegate/internal/stats"
+	"cranegate/rules"
+)
+
+// TestNoRepeatBeginsPastItsWindow has the first attempt of a keyed write reset, and its repeat wait for a connection that
+// comes up just within the window, at its end, and later: it begins only within, and the client hears what became of it.
+// The wait is ended at the window's end, also where no connection ever comes up; where the module's actor is busy then, the
+// last check before the first byte alone holds the window.
+func TestNoRepeatBeginsPastItsWindow(t *testing.T) {
+	const window = 300 * time.Millisecond
+	for _, c := range []struct {
+		up     time.Duration // after the first attempt; 0: never
+		begins bool
+		busy   time.Duration // the actor's, from shortly before the window's end on: it ends no wait
+	}{{window - time.Millisecond, true, 0}, {window, false, 0}, {window + time.Millisecond, false, 0}, {2 * window, false, 0}, {0, false, 0},
+		{window, false, 100 * time.Millisecond}, {window + time.Millisecond, false, 100 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			var mu sync.Mutex
+			var begun []bool
+			var first, ended time.Time
+			var answers []Answer
+			s := &fakeServers{take: func(a *Attempt) bool {
+				if first.IsZero() {
+					first = time.Now()
+					if c.busy > 0 {
+						go func() {
+							time.Sleep(window - 50*time.Millisecond)
+							a.core.post(func() { time.Sleep(c.busy) })
+						}()
+					}
+					go func() { a.Begin(); time.Sleep(20 * time.Millisecond); a.Done(Outcome{Result: rules.ResultReset}) }()
+					return true
+				}
+				go func() {
+					<-a.Context().Done()
+					mu.Lock()
+					defer mu.Unlock()
+					ended = time.Now()
+				}()
+				go func() {
+					if c.up == 0 {
+						return
+					}
+					time.Sleep(time.Until(first.Add(c.up)))
+					ok := a.Begin()
+					mu.Lock()
+					begun = append(begun, ok)
+					mu.Unlock()
+					if ok {
+						a.Done(Outcome{Result: rules.ResultOK, Value: "v"})
+					}
+				}()
+				return true
+			}}
+			cfg := rules.Config{Gateways: 1, MaxAttempts: 2, Positions: true, MayProbe: true, MayCancel: true, Classes: []rules.Class{
+				{Name: "put", Need: rules.NeedWrite, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: rules.Keyed, KeyTTL: window}}}
+			k, err := New(Options{Rules: cfg, Seed: 1, AnswerSlack: 20 * time.Millisecond, ProbeTimeout: 250 * time.Millisecond,
+				Counters: &stats.Counters{}}, s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			go k.Run(ctx)
+			k.Members(List{Kind: rules.ListWhole, Hosts: []Host{{Entry: rules.Entry{Member: "db-0", Size: 1}}}})
+			time.Sleep(50 * time.Millisecond)
+			k.Submit(&Request{Class: "put", Arrived: time.Now(), Reply: func(a Answer) { answers = append(answers, a) }})
+			time.Sleep(5 * time.Second)
+			cancel()
+			synctest.Wait()
+			if slices.Contains(begun, true) != c.begins || len(answers) != 1 || (answers[0].Status == Served) != c.begins {
+				t.Errorf("connection after %v: begun %v, answers %+v", c.up, begun, answers)
+			}
+			if !c.begins && ended.Sub(first) > window+c.busy+time.Millisecond {
+				t.Errorf("connection after %v: the wait ended %v after the first attempt, want %v", c.up, ended.Sub(first), window)
+			}
+		})
+	}
+}
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -89,6 +89,7 @@
 	sentAt      time.Duration
 	opened      time.Duration // its connection
 	until       time.Duration
+	latest      time.Duration // it has to begin before this; 0: whenever it can
 	need        time.Duration // position that the data must have
 	begun, over bool
 	reply       func(rules.Outcome, time.Duration) // takes the outcome where the gateway is a real one
@@ -315,12 +316,13 @@
 }
 
 // Send starts an attempt.
-func (g *gateway) Send(id uint64, member string, abandonAt time.Duration) {
+func (g *gateway) Send(id uint64, member string, abandonAt, beginBy time.Duration) {
 	f, q, h := g.f, g.requests[id], g.hosts[member]
 	if abandonAt <= 0 || abandonAt > q.deadline {
 		abandonAt = q.deadline
 	}
 	a := g.attempt(q, h, abandonAt)
+	a.latest = beginBy
 	q.out = append(q.out, a)
 	f.after(abandonAt-f.now, func() { a.abandon(rules.ResultTimeout) })
 	g.dial(h, rules.ConnAny, a.begin)
@@ -358,6 +360,11 @@
 		f.after(2*g.distance(h), func() { a.done(rules.Outcome{Result: rules.ResultFull}, 0) })
 		return
 	}
+	if a.latest > 0 && f.now >= a.latest {
+		g.free(h, opened)
+		a.done(rules.Outcome{Result: rules.ResultMoot}, 0)
+		return
+	}
 	a.begun = true
 	g.pools[h].out = append(g.pools[h].out, a)
 	life := h.life
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -46,8 +46,8 @@
 
 func (a *Actions) act(name string, values ...string) { a.Writer.action(name, a.Instance, values...) }
 
-// Send writes a try.
-func (a *Actions) Send(request uint64, member string, abandonAt time.Duration) {
+// Send writes a try. On this wire an attempt begins at once.
+func (a *Actions) Send(request uint64, member string, abandonAt, _ time.Duration) {
 	a.act("try", id(request), clock(abandonAt), member)
 }
 
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -16,11 +16,10 @@
 // legal is the gate that every send passes; each line keeps one rule.
 func (r *Router) legal(q *request, m *member) bool {
 	switch {
-	case q.ended, q.streaming, r.now < q.pause, r.now >= q.limit, q.sent >= r.cfg.MaxAttempts,
+	case q.ended, q.streaming, r.now < q.pause, r.now >= q.repeatBy(), q.sent >= r.cfg.MaxAttempts,
 		!m.usable, m.group != q.group, // drains, and groups
 		len(q.out) > 0 && (!r.cfg.MayDuplicate || q.class.Effect == Once), // copies out together
 		slices.ContainsFunc(q.out, func(a *attempt) bool { return a.m == m }),
-		!q.repeatAllowed(r.now), // duplicate effects
 		slices.Contains(q.missed, m) && m.position < r.minimum(q) && m != q.group.primary(), // a sure miss
 		r.cfg.Guards == GuardNone && q.class.Need != NeedWrite && !r.fresh(q, m):            // stale reads
 		return false
@@ -28,10 +27,22 @@
 	return r.coldRoom(m, r.work[q.Class])
 }
 
-// repeatAllowed says whether what may have run allows another attempt.
-func (q *request) repeatAllowed(now time.Duration) bool {
-	k := q.class
-	return k.Effect == Repeatable || !q.mayRun || k.Effect == Keyed && now < q.ranAt+k.KeyTTL
+// repeatBy is when an attempt has to have begun as things are: in time, and inside the window for repeats.
+func (q *request) repeatBy() time.Duration {
+	if q.class.Effect == Repeatable || !q.mayRun {
+		return q.limit
+	} else if q.class.Effect == Keyed {
+		return min(q.limit, q.ranAt+q.class.KeyTTL)
+	}
+	return 0
+}
+
+// beginBy is the same where it waits for a connection: what its member has must be recent enough then.
+func (r *Router) beginBy(q *request, m *member) time.Duration {
+	if r.cfg.Guards != GuardNone || q.class.Need != NeedBounded || m == q.group.primary() {
+		return q.repeatBy()
+	}
+	return min(q.repeatBy(), r.cfg.PositionZero+time.Duration(m.position)*time.Millisecond+q.class.Bound)
 }
 
 // send is the only way to a server.
@@ -43,13 +54,14 @@
 	if q.sent == 0 {
 		r.tokens = min(retryBurst, r.tokens+retryShare)
 	}
+	by := r.beginBy(q, m)
 	if !q.mayRun {
 		q.mayRun, q.ranAt = true, r.now
 	}
 	q.sent++
 	q.out, m.out = append(q.out, a), append(m.out, a)
 	m.credit -= a.work.Seconds() // as flow counts it, however long queues are
-	r.gw.Send(q.ID, m.id, q.limit)
+	r.gw.Send(q.ID, m.id, q.limit, by)
 	return a
 }
 
@@ -115,7 +127,7 @@
 	} else if len(q.out) > 0 {
 		r.reconsider(q)
 	} else if r.now+max(*q.usual/2, sweepEvery) > q.limit || q.sent >= r.cfg.MaxAttempts || // hopeless
-		!q.repeatAllowed(r.now) || r.now >= q.heldTo && !q.reached || q.group.vain > vainAbove && !q.ran &&
+		r.now >= q.repeatBy() || r.now >= q.heldTo && !q.reached || q.group.vain > vainAbove && !q.ran &&
 		(p == nil || r.suspect(p)) && r.now-q.deadline+q.Remaining > q.Remaining/8 {
 		if r.end(q, true); !q.ran {
 			q.group.vain += vainGain * (1 - q.group.vain)
@@ -124,10 +136,8 @@
 		r.end(q, true)
 	} else if m != nil {
 		a := r.send(q, m)
-		if m != p && q.atPrimary {
+		if r.placed(a); m != p && q.atPrimary {
 			q.group.seeking = a
-		} else if r.zones != nil && a != nil {
-			r.zones.Placed(m.at.Tier())
 		}
 	}
 }
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -242,8 +242,9 @@
 
 // Gateway is what the module may ask of its host.
 type Gateway interface {
-	// Send starts the next attempt of a request; it is abandoned at the given clock time.
-	Send(request uint64, member string, abandonAt time.Duration)
+	// Send starts the next attempt of a request; it is abandoned at the given clock time, and never written where its
+	// first byte would go out at beginBy or later: one that waits for a connection may be repeated or read too late.
+	Send(request uint64, member string, abandonAt, beginBy time.Duration)
 	// Cancel abandons one attempt.
 	Cancel(request uint64, attempt int)
 	// Refuse is a final answer that promises that nothing ran, with advice when to come back.
