--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -33,6 +33,8 @@
 	cancel context.CancelFunc
 
 	timeout *timer
+	latest  time.Duration // it has to have begun before this; 0: whenever it can
+	unbegun *timer        // ends it then if it still waits
 	first   time.Duration // how long the answer's first byte took, where it streams
 }
 
@@ -50,9 +52,27 @@
 func (a *Attempt) Context() context.Context { return a.ctx }
 
 // Begin is the last check before the first byte: false says that the attempt is over and must not be written.
-// It guards against sends to a host that began to drain, or for a request that ended, while it waited; and for one whose
-// client has left, of which the module's actor, or even the client's session, may not have heard yet.
-func (a *Attempt) Begin() bool { return !a.Request.leaves() && a.state.CompareAndSwap(waits, begun) }
+// It guards against sends to a host that began to drain, for a request that ended, past the window for repeats, or of a
+// read that its host's data has become too old for, while it waited; and for one whose client has left, of which the
+// module's actor, or even the client's session, may not have heard yet.
+func (a *Attempt) Begin() bool {
+	if a.latest > 0 && a.core.clock.now() >= a.latest {
+		a.state.CompareAndSwap(waits, over)
+		return false
+	}
+	return !a.Request.leaves() && a.state.CompareAndSwap(waits, begun)
+}
+
+// within gives an attempt the time before which it has to begin.
+func (a *Attempt) within(latest time.Duration) {
+	a.latest = latest
+	a.unbegun = a.core.timers.add(latest, func() { a.neverBegins(rules.ResultMoot) })
+}
+
+// neverBegan ends the wait of an attempt, and says whether no byte of it has been or will be written.
+func (a *Attempt) neverBegan() bool {
+	return a.state.CompareAndSwap(waits, over) || a.state.Load() == over
+}
 
 // Waiting says whether the attempt still wants a connection.
 func (a *Attempt) Waiting() bool { return a.state.Load() == waits && !a.Request.hasLeft() }
@@ -107,7 +127,7 @@
 
 // neverBegins ends an attempt that waits for a connection; it does nothing to one that has begun.
 func (a *Attempt) neverBegins(result rules.Result) {
-	if !a.closed && a.state.CompareAndSwap(waits, over) {
+	if !a.closed && a.neverBegan() {
 		a.finish(Outcome{Result: result})
 	}
 }
@@ -117,15 +137,19 @@
 	if a.closed {
 		return
 	}
-	if a.state.CompareAndSwap(waits, over) {
+	if a.neverBegan() {
 		result = rules.ResultMoot
 	}
 	a.finish(Outcome{Result: result})
 }
 
 // settle takes the outcome that the host's connection saw. Of an attempt that did not begin as its client had left there is
-// none, and the request ends here if word of that is still on its way.
+// none, and the request ends here if word of that is still on its way. One that came too late to begin never ran, whatever
+// its connection says, which may come before the timer's word.
 func (a *Attempt) settle(o Outcome) {
+	if a.state.Load() == over {
+		o = Outcome{Result: rules.ResultMoot}
+	}
 	if !a.closed && a.state.Load() == waits && a.Request.hasLeft() {
 		a.core.gone(a.Request)
 	}
@@ -140,6 +164,9 @@
 	a.closed = true
 	a.cancel()
 	a.timeout.cancel()
+	if a.unbegun != nil {
+		a.unbegun.cancel()
+	}
 	c.ended = append(c.ended, func() {
 		if a.Request == nil {
 			c.router.Probed(c.now, rules.ProbeResult{Member: a.Member, Result: o.Result, Took: c.now - a.sentAt,
