Play the window's end often enough that either word comes first

Where the module's actor is busy at the window's end, the timer and the connection's word wait for it together and it takes either first.

--- a/internal/core/window_test.go
+++ b/internal/core/window_test.go
@@ -18,12 +18,16 @@
 // last check before the first byte alone holds the window.
 func TestNoRepeatBeginsPastItsWindow(t *testing.T) {
 	const window = 300 * time.Millisecond
-	for _, c := range []struct {
+	type play struct {
 		up     time.Duration // after the first attempt; 0: never
 		begins bool
 		busy   time.Duration // the actor's, from shortly before the window's end on: it ends no wait
-	}{{window - time.Millisecond, true, 0}, {window, false, 0}, {window + time.Millisecond, false, 0}, {2 * window, false, 0}, {0, false, 0},
-		{window, false, 100 * time.Millisecond}, {window + time.Millisecond, false, 100 * time.Millisecond}} {
+	}
+	plays := []play{{window - time.Millisecond, true, 0}, {window, false, 0}, {window + time.Millisecond, false, 0}, {2 * window, false, 0}, {0, false, 0}}
+	for range 10 { // then both the timer and the connection's word wait for the actor, which takes either first
+		plays = append(plays, play{window, false, 100 * time.Millisecond}, play{window + time.Millisecond, false, 100 * time.Millisecond})
+	}
+	for _, c := range plays {
 		synctest.Test(t, func(t *testing.T) {
 			var mu sync.Mutex
 			var begun []bool
