--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	silentFor   = 100 * time.Millisecond // a client that has asked nothing yet gives way after this,
-	idleFor     = 250 * time.Millisecond // and another without an open request after this, the longest idle first
-	roomFor     = 300 * time.Millisecond // a new client waits so long at most for a place that is about to be free
-	roomLook    = 10 * time.Millisecond  // and so long for the one that was asked to leave, before the next is
-	mostThinned = 4                      // idle clients that are let go for each that comes to rest
-	mostLobby   = 8                      // clients that wait for a place or are being turned away at once
+	silentFor = 100 * time.Millisecond // a client that has asked nothing yet gives way after this,
+	idleFor   = 250 * time.Millisecond // and another without an open request after this, the longest idle first
+	roomFor   = 300 * time.Millisecond // a new client waits so long for a place that is about to be free, or half of the
+	//                                      shortest deadline: told then, it has time to try elsewhere
+	roomLook    = 10 * time.Millisecond // and so long for the one that was asked to leave, before the next is
+	mostThinned = 4                     // idle clients that are let go for each that comes to rest
+	mostLobby   = 8                     // clients that wait for a place or are being turned away at once, in a room of 32 or more
 )
 
 // Room is the places of all fronts' clients, a descriptor for each. Where none is left, a client that has nothing
@@ -28,7 +29,8 @@
 	mu       sync.Mutex
 	freed    chan struct{} // closed as a place is given back; nil while nobody waits for that
 	waiting  int           // newcomers that do
-	longest  time.Duration // any client's deadline
+	longest  time.Duration // any client's deadline,
+	shortest time.Duration // zero while none is known
 	sessions map[*Session]bool
 	ending   int  // of them, those that have been let go
 	keeps    bool // idle clients are not let go before there is no place left
@@ -36,7 +38,7 @@
 
 // NewRoom returns a room with a number of places.
 func NewRoom(size int) *Room {
-	return &Room{size: size, lobby: make(lobby, mostLobby), sessions: map[*Session]bool{}}
+	return &Room{size: size, lobby: make(lobby, Lobby(size)), sessions: map[*Session]bool{}}
 }
 
 // lobby holds one for each client in it.
@@ -54,13 +56,27 @@
 
 func (l lobby) leave() { <-l }
 
-// Waits tells of a class's deadline. The longest says how soon after a stop the process may be killed.
+// Lobby is how many clients a room of so many places turns away at once. Each of them holds a descriptor beside the places.
+func Lobby(size int) int { return max(1, min(mostLobby, size/4)) }
+
+// Waits tells of a class's deadline. The longest says how soon after a stop the process may be killed, the shortest how
+// long a new client may wait for its place.
 func (r *Room) Waits(deadline time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.shortest == 0 || deadline < r.shortest {
+		r.shortest = deadline
+	}
 	r.longest = max(r.longest, deadline)
 }
 
+// Longest is the longest of these deadlines.
+func (r *Room) Longest() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.longest
+}
+
 // Free is the share of places that no client holds.
 func (r *Room) Free() float64 {
 	r.mu.Lock()
@@ -83,13 +99,17 @@
 func (r *Room) enter(x *Session) bool {
 	r.mu.Lock()
 	r.waiting++
+	wait := roomFor
+	if r.shortest > 0 {
+		wait = min(wait, max(0, r.shortest/2-letGoFor))
+	}
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
 		r.waiting--
 		r.mu.Unlock()
 	}()
-	for until := time.Now().Add(roomFor); ; {
+	for until := time.Now().Add(wait); ; {
 		now := time.Now()
 		entered, due, freed := r.try(x, now)
 		if entered || due.IsZero() || due.After(now) && due.After(until) || now.After(until.Add(letGoFor)) {
@@ -106,11 +126,23 @@
 	}
 }
 
-// force gives a session a place, also where there is none: it held one in another process till now.
+// force gives a session a place, also where there is none: it held one in another process till now. The one that has rested
+// longest gives way for it then: two processes' idle clients must not take the descriptors of all else.
 func (r *Room) force(x *Session) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sessions[x] = true
+	over, first := len(r.sessions)-r.size, (*Session)(nil)
+	for s := range r.sessions {
+		if s.leaving.Load() {
+			over--
+		} else if !s.resting.IsZero() && (first == nil || s.resting.Before(first.resting)) {
+			first = s
+		}
+	}
+	if over > 0 && first != nil {
+		first.ask()
+	}
 }
 
 // try gives a session a place, or asks the one to leave whose time is up first, unless one is leaving for each newcomer that
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -18,6 +18,7 @@
 	f        *fleet
 	number   int
 	zone     string
+	part     float64 // of the mean traffic
 	router   *rules.Router
 	cfg      rules.Config
 	keeper   *keep.Keeper
@@ -88,13 +89,14 @@
 	sentAt      time.Duration
 	opened      time.Duration // its connection
 	until       time.Duration
+	latest      time.Duration // it has to begin before this; 0: whenever it can
 	need        time.Duration // position that the data must have
 	begun, over bool
 	reply       func(rules.Outcome, time.Duration) // takes the outcome where the gateway is a real one
 }
 
 func newGateway(f *fleet, n int, arrivals *rand.Rand) *gateway {
-	g := &gateway{f: f, number: n, zone: f.Zones[n%len(f.Zones)], arrivals: arrivals, pools: map[*host]*pool{},
+	g := &gateway{f: f, number: n, part: 1, zone: f.Zones[n%len(f.Zones)], arrivals: arrivals, pools: map[*host]*pool{},
 		hosts: map[string]*host{}, requests: map[uint64]*request{}}
 	cfg := rules.Config{Gateways: f.Gateways, Zone: g.zone, Guards: f.Guards, CatchUpWait: catchUpWait, Positions: true,
 		ListRole: rules.ListRoleLate, MayCancel: true, MayDuplicate: true, MayProbe: true, MaxAttempts: 6,
@@ -165,7 +167,7 @@
 	if g.closed {
 		return
 	}
-	rate := f.Rate * f.skew(g.zone) * (1 + f.rush)
+	rate := f.Rate * f.skew(g.zone) * g.part * (1 + f.rush)
 	f.after(time.Duration(r.ExpFloat64()/rate*float64(time.Second)), g.arrive)
 	pick, n := r.Float64(), 0
 	for ; n < len(classes)-1 && pick >= classes[n].part; n++ {
@@ -314,12 +316,13 @@
 }
 
 // Send starts an attempt.
-func (g *gateway) Send(id uint64, member string, abandonAt time.Duration) {
+func (g *gateway) Send(id uint64, member string, abandonAt, beginBy time.Duration) {
 	f, q, h := g.f, g.requests[id], g.hosts[member]
 	if abandonAt <= 0 || abandonAt > q.deadline {
 		abandonAt = q.deadline
 	}
 	a := g.attempt(q, h, abandonAt)
+	a.latest = beginBy
 	q.out = append(q.out, a)
 	f.after(abandonAt-f.now, func() { a.abandon(rules.ResultTimeout) })
 	g.dial(h, rules.ConnAny, a.begin)
@@ -357,6 +360,11 @@
 		f.after(2*g.distance(h), func() { a.done(rules.Outcome{Result: rules.ResultFull}, 0) })
 		return
 	}
+	if a.latest > 0 && f.now >= a.latest {
+		g.free(h, opened)
+		a.done(rules.Outcome{Result: rules.ResultMoot}, 0)
+		return
+	}
 	a.begun = true
 	g.pools[h].out = append(g.pools[h].out, a)
 	life := h.life
@@ -508,6 +516,7 @@
 			return
 		}
 		life := h.life
+		f.judge.cold(h, g, probeCost.Seconds()/f.meanWork())
 		f.after(2*g.distance(h)+probeCost, func() {
 			if h.cut > 0 || process != g.life {
 				return
--- a/internal/servers/rig_test.go
+++ b/internal/servers/rig_test.go
@@ -38,28 +38,31 @@
 	listener net.Listener
 	core     *core.Core
 	counters *stats.Counters
+	serve    func(net.Conn) // in place of the host
 
 	mu    sync.Mutex
 	conns []*net.TCPConn // the host's ends, in the order of their coming
-	more  chan struct{}  // takes one for each that comes
 
 	prepared map[string]*mysqlwire.Statement // by class
 }
 
 // newRig plays a host; change may alter the pool's options, among them the seams: how connections are opened and started.
-func newRig(t *testing.T, form string, host *standin.Host, change func(*servers.Options)) *rig {
+func newRig(t *testing.T, form string, host *standin.Host, change func(*servers.Options), serve ...func(net.Conn)) *rig {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	host.Primary = true
-	r := &rig{t: t, form: form, host: host, listener: l, counters: &stats.Counters{}, more: make(chan struct{}, 100),
+	r := &rig{t: t, form: form, host: host, listener: l, counters: &stats.Counters{},
 		prepared: map[string]*mysqlwire.Statement{}}
 	opt := servers.Options{Start: postgres.Start, ConnectTimeout: soon, IdleFor: soon, MostOpen: 50, Gateways: 1, Counters: r.counters}
 	if form != "postgres" {
 		opt.Start = mysql.Account{User: "svc", Probe: "SHOW pressure", PrepareFor: soon}.Start
 	}
+	for _, f := range serve {
+		r.serve = f
+	}
 	if change != nil {
 		change(&opt)
 	}
@@ -103,9 +106,10 @@
 		r.mu.Lock()
 		r.conns = append(r.conns, c.(*net.TCPConn))
 		r.mu.Unlock()
-		r.more <- struct{}{}
 		all.Go(func() {
-			if r.form == "postgres" {
+			if r.serve != nil {
+				r.serve(c)
+			} else if r.form == "postgres" {
 				r.host.ServePostgres(c)
 			} else {
 				r.host.ServeMySQL(c)
@@ -126,14 +130,26 @@
 
 // ask sends a request on, whose answer comes by the channel.
 func (r *rig) ask(class, id string) <-chan core.Answer {
+	r.t.Helper()
+	answers := make(chan core.Answer, 10)
+	r.send(class, id, func(a core.Answer) { answers <- a })
+	return answers
+}
+
+// submit sends a request on whose answer nobody waits for.
+func (r *rig) submit(class, id string) *core.Request {
+	r.t.Helper()
+	return r.send(class, id, func(core.Answer) {})
+}
+
+func (r *rig) send(class, id string, reply func(core.Answer)) *core.Request {
 	r.t.Helper()
 	text := "/* id=" + id + ",c=" + class + ",d=60000,cluster=4 */ SELECT v FROM records WHERE k = '" + id + "'"
 	s, err := statement.Parse([]byte(text))
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	answers := make(chan core.Answer, 10)
-	q := &core.Request{Class: class, Group: 4, Arrived: time.Now(), Payload: s, Reply: func(a core.Answer) { answers <- a }}
+	q := &core.Request{Class: class, Group: 4, Arrived: time.Now(), Payload: s, Reply: reply}
 	switch r.form {
 	case "mysql":
 		q.Payload = &mysqlwire.Command{Kind: mysqlwire.ComQuery, Meta: s}
@@ -147,7 +163,7 @@
 	if !r.core.Submit(q) {
 		r.t.Fatal("the core has ended")
 	}
-	return answers
+	return q
 }
 
 // wait takes an answer.
