--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -27,7 +27,7 @@
 	classRejected   = "42"      // the statement itself can't be used, here or elsewhere: it was read and never begun
 	codeProtocol    = "08P01"   // likewise
 	mostValue       = 128 << 10 // 64 KiB, in hex digits
-	writeAtMost     = 5 * time.Second
+	writeAtMost     = 5 * time.Second // no attempt waits for it: its connection is closed when it is given up
 	probeText       = "SHOW pressure"
 	probeUser       = "svc"
 	defaultDatabase = "main"
