--- a/internal/servers/mysql/mysql.go
+++ b/internal/servers/mysql/mysql.go
@@ -28,7 +28,7 @@
 	mostStatements = 256 // prepared on one connection; the oldest gives way
 	mostRead       = 512 << 10
 	writeAtMost    = 5 * time.Second // an attempt is given up before; a prepare's connection is blocked for so long
-	lateFor        = time.Second // a prepare that was given up may still be answered for so long
+	lateFor        = time.Second     // a prepare that was given up may still be answered for so long
 )
 
 // The server's errors that prove that nothing ran. Every other one may have run.
--- a/internal/servers/postgres/postgres.go
+++ b/internal/servers/postgres/postgres.go
@@ -24,9 +24,9 @@
 	codeBehind      = "72000" // a read that it is too far behind for
 	codeTurnedAway  = "53300"
 	codeNotNow      = "57P03"
-	classRejected   = "42"      // the statement itself can't be used, here or elsewhere: it was read and never begun
-	codeProtocol    = "08P01"   // likewise
-	mostValue       = 128 << 10 // 64 KiB, in hex digits
+	classRejected   = "42"            // the statement itself can't be used, here or elsewhere: it was read and never begun
+	codeProtocol    = "08P01"         // likewise
+	mostValue       = 128 << 10       // 64 KiB, in hex digits
 	writeAtMost     = 5 * time.Second // no attempt waits for it: its connection is closed when it is given up
 	probeText       = "SHOW pressure"
 	probeUser       = "svc"
