Have two calls in a row fail on real sockets, too

Need: that any two calls to discovery may fail and the third still be in time was held on a test's clock and pipes alone. A clock of that kind does not see what a socket adds: a connection that comes up and is silent, an end in mid-answer, buffers.

Change: TestTwoFailuresOnSockets scripts six orders on loopback (silent twice, half an answer and half a header, silent and turned away, turned away and silent, asked to wait 30 s and silent, cut and turned away after 2 s); the change comes once the call that fails has been read. The stand-in ends its silent connections with the test.

--- a/internal/list/end_test.go
+++ b/internal/list/end_test.go
@@ -155,3 +155,79 @@
 		})
 	}
 }
+
+// TestTwoFailuresOnSockets has a watch fail on real sockets right after its first answer, the call after it fail too, and a change
+// come with the first failure: it is told in time. A busy machine may add half a second.
+func TestTwoFailuresOnSockets(t *testing.T) {
+	for _, words := range [][]string{{"late silent", "silent"}, {"late body", "header"}, {"late silent", "full"}, {"late full", "silent"}, {"asks", "silent"}, {"late cut", "busy"}} {
+		t.Run(strings.Join(words, ", then "), func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			a := &agent{words: append(words, "live"), rev: 2, over: make(chan struct{})}
+			ends := make(chan net.Conn, 100)
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					ends <- c
+					a.mu.Lock()
+					word := a.words[0]
+					if len(a.words) > 1 {
+						a.words = a.words[1:]
+					}
+					a.mu.Unlock()
+					go a.serve(c, word)
+				}
+			}()
+			told := make(chan struct{})
+			w := NewWatcher(l.Addr().String(), Snapshot{Rev: 2, All: true}, func(x core.List) {
+				for _, h := range x.Hosts {
+					if h.Entry.Member == "r3" {
+						close(told)
+					}
+				}
+			}, pace.New(300, 1), &stats.Counters{})
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- w.Run(ctx) }()
+			defer func() {
+				cancel()
+				<-ended
+				close(a.over)
+				l.Close()
+				for len(ends) > 0 {
+					(<-ends).Close()
+				}
+			}()
+			first := 1 // calls before the one that fails
+			if strings.HasPrefix(words[0], "late ") {
+				first = 2
+			}
+			for end := time.Now().Add(mostWait); ; time.Sleep(time.Millisecond) {
+				if a.mu.Lock(); len(a.asked) >= first {
+					a.rev = 3
+					a.mu.Unlock()
+					break
+				}
+				a.mu.Unlock()
+				if time.Now().After(end) {
+					t.Fatal("no call came")
+				}
+			}
+			since := time.Now()
+			select {
+			case <-told:
+				if took := time.Since(since); took > reachedTold+500*time.Millisecond {
+					t.Errorf("told after %v", took)
+				}
+			case <-time.After(mostWait):
+				t.Error("not told")
+			}
+		})
+	}
+}
--- a/internal/list/watch_test.go
+++ b/internal/list/watch_test.go
@@ -48,7 +48,8 @@
 	mu    sync.Mutex
 	words []string
 	rev   int64
-	asked []string // queries
+	asked []string      // queries
+	over  chan struct{} // closed once nobody calls any more; nil: a minute is nothing on the test's clock
 	at    []time.Time
 }
 
@@ -152,7 +153,10 @@
 				time.Sleep(time.Second)
 			}
 		}
-		time.Sleep(time.Minute) // and then it says nothing
+		select { // and then it says nothing
+		case <-time.After(time.Minute):
+		case <-a.over:
+		}
 		return
 	}
 }
