Name absurd settings at the start, each with what it has to be

Settings were parsed without bounds: NaN, infinite and negative numbers, times that overflow, no gateways, two classes of one name, and an unknown scope of repeats passed. A window of 0 for falls made a budget NaN, so that a cold host got nothing; a connect time of NaN passed as "not under 0". Ruled out: panics on the lists' lengths, which were checked already.

May be left out: the four settings of cold hosts together (no rule then), a window for repeats (none are made). A scope of repeats by zone is an error, as no site here has one.

A primary that no list names is tested as well.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -98,6 +98,9 @@
 	if p.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("reading the seed: %w", err)
 	}
+	if err := p.Limits.check(); err != nil {
+		return nil, fmt.Errorf("reading the limits: %w", err)
+	}
 	if p.Settings, err = ReadSettings(in.Settings); err != nil {
 		return nil, fmt.Errorf("reading the settings: %w", err)
 	}
@@ -109,6 +112,22 @@
 	return p, nil
 }
 
+// mostWait is how long connects, rests of connections and slack may be at most, in seconds: an hour.
+const mostWait = 3600.0
+
+// check says which limit can't be one.
+func (l Limits) check() error {
+	for _, x := range []struct {
+		path string
+		n    float64
+	}{{"limits.cores", l.Cores}, {"limits.memory_mb", float64(l.MemoryMB)}, {"limits.sockets", float64(l.Sockets)}} {
+		if !(x.n >= 0 && x.n <= 1e9) {
+			return &wire.SettingError{Path: x.path, Value: fmt.Sprint(x.n), Needs: "0 for none, or a number up to a billion"}
+		}
+	}
+	return nil
+}
+
 // ReadSettings reads the nested object of settings, named as on the simulator's wire.
 func ReadSettings(in map[string]any) (Settings, error) {
 	pairs := map[string]string{}
@@ -121,8 +140,8 @@
 	for path, to := range map[string]*time.Duration{"policyLimits.connectTimeoutS": &s.ConnectTimeout,
 		"policyLimits.idleCloseS": &s.IdleClose, "rules.answerSlackS": &s.AnswerSlack} {
 		x, err := strconv.ParseFloat(pairs[path], 64)
-		if err != nil || x <= 0 {
-			return s, fmt.Errorf("setting %s=%q is no positive number", path, pairs[path])
+		if err != nil || !(x > 0 && x <= mostWait) { // NaN is neither
+			return s, &wire.SettingError{Path: path, Value: pairs[path], Needs: fmt.Sprintf("more than 0 and at most %g s", mostWait)}
 		}
 		*to = time.Duration(x * float64(time.Second))
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,12 +1,15 @@
 package config
 
 import (
+	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"cranegate/internal/wire"
 	"cranegate/rules"
 )
 
@@ -149,3 +152,36 @@
 		t.Error("a wrong address passes")
 	}
 }
+
+// TestAbsurdNumbersAreNamed has waits and limits that can't be: each is a fault of its own type with what to do.
+func TestAbsurdNumbersAreNamed(t *testing.T) {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"policyLimits.connectTimeoutS", "policyLimits.idleCloseS", "rules.answerSlackS", "limits.cores", "limits.sockets"} {
+		for _, v := range []any{"NaN", "-Inf", -1, 1e300} {
+			var all map[string]any
+			if err := json.Unmarshal(text, &all); err != nil {
+				t.Fatal(err)
+			}
+			at, name, _ := strings.Cut(path, ".")
+			in, _ := all["settings"].(map[string]any)
+			if at == "limits" {
+				in = all
+			}
+			if in[at] == nil {
+				in[at] = map[string]any{}
+			}
+			in[at].(map[string]any)[name] = v
+			spoilt, err := json.Marshal(all)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = parse(spoilt, noEnv)
+			if fault := new(wire.SettingError); err == nil || at != "limits" && !errors.As(err, &fault) {
+				t.Errorf("%s = %v: %v", path, v, err)
+			}
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -34,41 +37,85 @@
 	return (&settings{values: pairs}).config()
 }
 
-func (s *settings) fail(path string, err error) {
+// SettingError is a setting that can't be used. It says what an operator can do.
+type SettingError struct {
+	Path  string // as on the simulator's wire; the object's names are set apart by dots
+	Value string // as it was given; empty if it is missing
+	Needs string // what it has to be
+}
+
+func (e *SettingError) Error() string {
+	given := "is missing"
+	if e.Value != "" {
+		given = fmt.Sprintf("is %q", e.Value)
+	}
+	return fmt.Sprintf("setting %s %s: it has to be %s; correct it where the settings stand and start again", e.Path, given, e.Needs)
+}
+
+// What settings may be at most: past these they are taken for mistakes.
+const (
+	mostSeconds = 24 * 60 * 60.0
+	mostCount   = 1e6
+	mostNumber  = 1e9
+	mostZero    = 4e9 // seconds: Unix time is well within
+)
+
+// fail keeps the first fault.
+func (s *settings) fail(path, needs string) {
 	if s.err == nil {
-		s.err = fmt.Errorf("setting %s: %w", path, err)
+		s.err = &SettingError{Path: path, Value: s.values[path], Needs: needs}
 	}
 }
 
-func (s *settings) has(path string) bool { _, ok := s.values[path]; return ok }
+func (s *settings) has(path string) bool {
+	v := s.values[path]
+	return v != "" && v != "-"
+}
 
 // text returns a needed setting.
 func (s *settings) text(path string) string {
-	v, ok := s.values[path]
-	if !ok {
-		s.fail(path, fmt.Errorf("missing"))
+	if !s.has(path) {
+		s.fail(path, "given")
 	}
-	return v
+	return s.values[path]
 }
 
-// number returns an optional number, zero if absent.
-func (s *settings) number(path string) float64 {
-	v, ok := s.values[path]
-	if !ok || v == "-" || v == "" {
+// number returns an optional number within bounds, zero if absent.
+func (s *settings) number(path string, least, most float64) float64 {
+	if !s.has(path) {
 		return 0
 	}
-	n, err := strconv.ParseFloat(v, 64)
-	if err != nil {
-		s.fail(path, err)
+	n, err := strconv.ParseFloat(s.values[path], 64)
+	if err != nil || !(n >= least && n <= most) { // NaN is neither
+		s.fail(path, fmt.Sprintf("a number from %g to %g", least, most))
+		return 0
 	}
 	return n
 }
 
-// must returns a needed number.
-func (s *settings) must(path string) float64 { s.text(path); return s.number(path) }
+// count returns a needed whole number, of 1 at least.
+func (s *settings) count(path string) int {
+	s.text(path)
+	n := s.number(path, 1, mostCount)
+	if n != math.Trunc(n) {
+		s.fail(path, "a whole number")
+	}
+	return int(n)
+}
 
-func (s *settings) seconds(path string) time.Duration     { return seconds(s.number(path)) }
-func (s *settings) mustSeconds(path string) time.Duration { return seconds(s.must(path)) }
+// seconds returns an optional time, and mustSeconds one that is needed and more than 0.
+func (s *settings) seconds(path string) time.Duration {
+	return seconds(s.number(path, 0, mostSeconds))
+}
+
+func (s *settings) mustSeconds(path string) time.Duration {
+	s.text(path)
+	d := s.seconds(path)
+	if d <= 0 {
+		s.fail(path, "more than 0 s")
+	}
+	return d
+}
 
 // flag returns an optional truth value.
 func (s *settings) flag(path string) bool {
@@ -78,7 +125,7 @@
 	case "", "-", "false", "0":
 		return false
 	default:
-		s.fail(path, fmt.Errorf("%q is no truth value", v))
+		s.fail(path, "true or false")
 		return false
 	}
 }
@@ -96,7 +143,7 @@
 func word[T any](s *settings, path string, words map[string]T) T {
 	v, ok := words[s.values[path]]
 	if !ok {
-		s.fail(path, fmt.Errorf("unknown word %q", s.values[path]))
+		s.fail(path, "one of "+strings.Join(slices.Sorted(maps.Keys(words)), ", "))
 	}
 	return v
 }
@@ -109,32 +156,33 @@
 	roleWords   = map[string]rules.ListRole{"": rules.ListRoleNone, "none": rules.ListRoleNone,
 		"start": rules.ListRoleStart, "late": rules.ListRoleLate}
 	markWords      = map[string]bool{"": false, "carried": false, "remembered": true}
+	scopeWords     = map[string]bool{"": false, "-": false, "cell": false, "all": true}
 	discoveryWords = map[string]bool{"": false, "automatic": false, "subscribe": true}
 )
 
 // config turns the pairs into the module's configuration.
 func (s *settings) config() (rules.Config, error) {
 	c := rules.Config{
-		Gateways:          int(s.must("balancers")),
+		Gateways:          s.count("balancers"),
 		Zone:              s.values["zone"],
-		OverShareWorth:    s.number("overShareWorth"),
+		OverShareWorth:    s.number("overShareWorth", 0, mostNumber),
 		Subscribe:         word(s, "discovery", discoveryWords),
 		AskWithin:         s.seconds("rules.askWithinS"),
 		Guards:            word(s, "domain.guards", guardWords),
 		CatchUpWait:       s.seconds("domain.catchUpWaitS"),
 		Positions:         s.flag("domain.positions"),
-		PositionZero:      s.seconds("domain.positionZeroS"),
+		PositionZero:      seconds(s.number("domain.positionZeroS", -mostZero, mostZero)),
 		Remembered:        word(s, "domain.writeMarks", markWords),
 		ListRole:          word(s, "domain.roleInList", roleWords),
 		MayCancel:         s.flag("policyLimits.mayCancel"),
 		MayDuplicate:      s.flag("policyLimits.mayDuplicate"),
 		MayProbe:          s.flag("policyLimits.probes"),
-		MaxAttempts:       int(s.must("policyLimits.maxAttempts")),
+		MaxAttempts:       s.count("policyLimits.maxAttempts"),
 		MaxComeBack:       s.seconds("policyLimits.maxRetryAfterS"),
-		CrossZoneCost:     s.number("deductions.crossZone"),
-		ColdFrom:          s.number("rules.coldFrom"),
+		CrossZoneCost:     s.number("deductions.crossZone", -mostNumber, mostNumber),
+		ColdFrom:          s.number("rules.coldFrom", 0, 1),
 		ColdFor:           s.seconds("rules.coldS"),
-		TipMultiple:       s.number("rules.tipMultiple"),
+		TipMultiple:       s.number("rules.tipMultiple", 0, mostNumber),
 		TipAfter:          s.seconds("rules.fallS"),
 		OnlyDrainingBinds: s.flag("rules.onlyDrainingBinds"),
 	}
@@ -142,12 +190,23 @@
 		c.MaxComeBack = 0 // advice does not reach clients
 	}
 	needs, bounds := s.list("domain.needsByClass"), s.list("domain.classBoundS")
-	n := int(s.must("classes.count"))
+	n := s.count("classes.count")
 	if s.err == nil && len(needs) != n {
-		s.fail("domain.needsByClass", fmt.Errorf("%d needs for %d classes", len(needs), n))
+		s.fail("domain.needsByClass", fmt.Sprintf("a list of %d needs, one for each class", n))
 	}
+	names := map[string]bool{}
 	for i := 0; i < n && s.err == nil; i++ {
-		c.Classes = append(c.Classes, s.class(i, needs[i], bounds))
+		k := s.class(i, needs[i], bounds)
+		if names[k.Name] {
+			s.fail(fmt.Sprintf("classes.%d.name", i), "a name that no class before has")
+		}
+		names[k.Name] = true
+		c.Classes = append(c.Classes, k)
+	}
+	if c.ColdFor > 0 && c.TipMultiple <= 0 {
+		s.fail("rules.tipMultiple", "more than 0 where rules.coldS is given")
+	} else if c.ColdFor > 0 && c.TipAfter <= 0 {
+		s.fail("rules.fallS", "more than 0 where rules.coldS is given")
 	}
 	c.Tenants = s.tenants()
 	return c, s.err
@@ -156,30 +215,33 @@
 // class reads one class.
 func (s *settings) class(i int, need string, bounds []string) rules.Class {
 	p := fmt.Sprintf("classes.%d.", i)
+	s.text(p + "points")
 	c := rules.Class{
 		Name:      s.text(p + "name"),
 		Aim:       s.mustSeconds(p + "aimS"),
-		Stretch:   s.number(p + "aimStretch"),
+		Stretch:   s.number(p+"aimStretch", 0, mostNumber),
 		Deadline:  s.mustSeconds(p + "deadlineS"),
-		Worth:     s.must(p + "points"),
-		LateWorth: s.number(p + "lateWorth"),
+		Worth:     s.number(p+"points", 0, mostNumber),
+		LateWorth: s.number(p+"lateWorth", 0, 1),
 		Effect:    word(s, p+"repeat", effectWords),
-		KeyAll:    s.values[p+"keyScope"] == "all",
+		KeyAll:    word(s, p+"keyScope", scopeWords),
 		KeyTTL:    s.seconds(p + "keyTtlS"),
 		Stream:    s.flag(p + "stream"),
 	}
 	var ok bool
 	if c.Need, ok = needWords[need]; !ok {
-		s.fail("domain.needsByClass", fmt.Errorf("unknown need %q", need))
+		s.fail("domain.needsByClass", "a list of "+strings.Join(slices.Sorted(maps.Keys(needWords)), ", "))
 	}
 	if c.Need == rules.NeedBounded {
-		if i >= len(bounds) {
-			s.fail("domain.classBoundS", fmt.Errorf("no bound for class %d", i))
-			return c
+		b := math.NaN()
+		if i < len(bounds) {
+			if x, err := strconv.ParseFloat(bounds[i], 64); err == nil {
+				b = x
+			}
 		}
-		b, err := strconv.ParseFloat(bounds[i], 64)
-		if err != nil {
-			s.fail("domain.classBoundS", err)
+		if !(b >= 0 && b <= mostSeconds) {
+			s.fail("domain.classBoundS", fmt.Sprintf("a list with the bound of class %d, %s: from 0 to %g s", i, c.Name, mostSeconds))
+			return c
 		}
 		c.Bound = seconds(b)
 	}
@@ -195,11 +257,11 @@
 		}
 		return out
 	}
-	n := int(s.number("realms.count"))
+	n := int(s.number("realms.count", 0, mostCount))
 	var out []rules.Tenant
 	for i := 0; i < n && s.err == nil; i++ {
 		p := fmt.Sprintf("realms.%d.", i)
-		out = append(out, rules.Tenant{Name: s.text(p + "name"), Quota: s.number(p + "quotaPerS")})
+		out = append(out, rules.Tenant{Name: s.text(p + "name"), Quota: s.number(p+"quotaPerS", 0, mostNumber)})
 	}
 	return out
 }
--- a/rules/window_test.go
+++ b/rules/window_test.go
@@ -1,7 +1,9 @@
 package rules
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -48,3 +50,44 @@
 		t.Errorf("sent to %v, refused %d", b.to(q), b.refused[q])
 	}
 }
+
+// TestConfigurationsThatCannotServe names what a configuration lacks that decisions divide by or wait for.
+func TestConfigurationsThatCannotServe(t *testing.T) {
+	for i, spoil := range []func(*Config){func(c *Config) { c.Classes = nil }, func(c *Config) { c.Gateways = 0 },
+		func(c *Config) { c.MaxAttempts = 0 }, func(c *Config) { c.TipAfter = 0 }, func(c *Config) { c.TipMultiple = 0 },
+		func(c *Config) { c.TipMultiple = math.NaN() }, func(c *Config) { c.ColdFrom = 2 }, func(c *Config) { c.ColdFor = -1 },
+		func(c *Config) { c.Classes[0].Aim = 0 }, func(c *Config) { c.Classes[0].Deadline = -1 }} {
+		c := config()
+		spoil(&c)
+		if _, err := New(0, c, 1, &recorder{}); !errors.As(err, new(*ConfigError)) {
+			t.Errorf("%d: %v", i, err)
+		}
+	}
+	c := config() // without a rule on cold members they are warm, also one that starts a little ahead of this clock
+	c.ColdFrom, c.ColdFor, c.TipMultiple, c.TipAfter = 0, 0, 0, 0
+	b := newRig(t, c, Entry{Member: "a", Group: 1, Leader: true, StartedAt: 101 * time.Second})
+	b.told("a", 0)
+	b.want("sent", len(b.to(b.ask(onceWrite))), 1)
+}
+
+// TestPrimaryThatNoListNames has lists without roles and members that do not check reads: the primary is found by a write's
+// misses and by probes, and bounded reads keep to what members are known to have.
+func TestPrimaryThatNoListNames(t *testing.T) {
+	c := config()
+	c.ListRole, c.Guards = ListRoleNone, GuardNone
+	b := newRig(t, c, Entry{Member: "a", Group: 1, Leader: true}, Entry{Member: "b", Group: 1}, Entry{Member: "c", Group: 1})
+	b.want("the primary before any answer", b.r.groups[1].primary() == nil, true)
+	w := b.ask(onceWrite)
+	b.answer(w, ResultMiss, RoleReplica, b.at(50*ms))
+	b.answer(w, ResultMiss, RoleReplica, b.at(50*ms))
+	b.answer(w, ResultOK, RolePrimary, b.at(0))
+	b.want("a write looks for it", b.to(w), "[a b c]")
+	b.want("the next finds it", b.to(b.ask(onceWrite)), "[c]")
+	q := b.ask(boundedRead)
+	b.want("a read goes where the data is recent", len(b.to(q)), 1)
+	b.now += 300 * ms // past the bound of 200 ms, and nobody was heard since
+	b.r.wake(b.now)
+	b.want("a read then goes to the primary", b.to(b.ask(boundedRead)), "[c]")
+	b.told("b", 10*ms)
+	b.want("a probe names another", b.r.groups[1].primary().id, "b")
+}
