Have reads at a primary begin before another can be known, where hosts do not check

Bounded reads at replicas that waited for a connection have a latest time since the last merge; a read that was sent to a member as the primary had none (Router.beginBy): its connection may take 0.4 s, and an answer that names another primary counts as known after 100 ms.

Where hosts do not check, such a read begins 75 ms after it was decided on at the latest, unless the member's position suffices whoever is primary; then it is decided on anew.

--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -6,10 +6,11 @@
 )
 
 const (
+	retryShare, retryBurst = 0.1, 20.0 // further attempts for each first one, saved up: they must not feed a jam
+
 	hedgeAfter  = 3.0                   // times usual before a second copy: about the slowest twentieth
-	retryShare  = 0.1                   // further attempts for each first one: they must not feed a jam
-	retryBurst  = 20.0                  // and so many saved up
 	pauseFull   = 25 * time.Millisecond // before a write or fresh read asks a full primary again
+	roleHolds   = 75 * time.Millisecond // an answer that names another primary counts as known after 100 ms
 	adviceShare = 0.05                  // advice to come back, of the deadline: while an answer still earns
 )
 
@@ -37,12 +38,15 @@
 	return 0
 }
 
-// beginBy is the same where it waits for a connection: what its member has must be recent enough then.
+// beginBy is the same where it waits for a connection: what its member has must be recent enough then too.
 func (r *Router) beginBy(q *request, m *member) time.Duration {
-	if r.cfg.Guards != GuardNone || q.class.Need != NeedBounded || m == q.group.primary() {
+	holds := r.cfg.PositionZero + time.Duration(m.position)*time.Millisecond + q.class.Bound
+	if r.cfg.Guards != GuardNone || q.class.Need != NeedBounded && m.position >= q.need {
 		return q.repeatBy()
+	} else if m == q.group.primary() {
+		holds = max(holds, r.now+roleHolds)
 	}
-	return min(q.repeatBy(), r.cfg.PositionZero+time.Duration(m.position)*time.Millisecond+q.class.Bound)
+	return min(q.repeatBy(), holds)
 }
 
 // send is the only way to a server.
--- a/rules/evidence.go
+++ b/rules/evidence.go
@@ -6,17 +6,17 @@
 )
 
 const (
-	silenceLimit = 5.0                    // times usual without any answer: a live member's chance is e^-5
-	failuresMax  = 2                      // failures in a row: one broken connection says little
-	awayAtLeast  = time.Second            // no process that was heard since has died and started again
-	heardLately  = 150 * time.Millisecond // and connections that break are no sign of its death for this long
-	laggard      = 300                    // ms behind that neither shipping nor old reports explain
-	tightFor     = 5 * time.Second        // idle connections are shut, after a sign that members lack them
-	usualGain    = 0.03                   // weight of one answer in a class's usual round trip
-	usualClip    = 4.0                    // one answer counts as at most this many times usual
-	workGain     = 0.25                   // the work of a class is near its shortest round trips,
-	workOver     = time.Minute            // forgotten over this: in longer ones it waits in queues
-	sessionsKept = 100000                 // remembered session marks, the oldest dropped first: bounds memory
+	silenceLimit, failuresMax = 5.0, 2 // times usual unanswered (a live one: e^-5), and failures in a row: one says little
+
+	awayAtLeast = time.Second            // no process that was heard since has died and started again
+	heardLately = 150 * time.Millisecond // and connections that break are no sign of its death for this long
+	laggard     = 300                    // ms behind that neither shipping nor old reports explain
+	tightFor    = 5 * time.Second        // idle connections are shut, after a sign that members lack them
+
+	usualGain, usualClip = 0.03, 4.0         // weight of one answer in a class's usual round trip, of so many at most
+	workGain, workOver   = 0.25, time.Minute // work is near the shortest round trips, forgotten: longer ones queue
+
+	sessionsKept = 100000 // remembered session marks, the oldest dropped first: bounds memory
 )
 
 // learn takes what an attempt's end tells of its member.
--- a/rules/window_test.go
+++ b/rules/window_test.go
@@ -37,6 +37,20 @@
 	b.want("begins while its data is recent enough", b.sends[0].beginBy, b.now-60*ms+c.Classes[boundedRead].Bound)
 	q = b.ask(anyRead)
 	b.want("any read begins by its aim", b.sends[1].beginBy, b.now+c.Classes[anyRead].Aim)
+
+	// A primary may be read from whatever its position is known to be, as long as nobody has told of another.
+	c = config()
+	c.Guards = GuardNone
+	b = newRig(t, c)
+	b.told("a", 10*ms)
+	b.now += 50 * ms
+	q = b.ask(freshRead)
+	b.want("a fresh read goes to", b.to(q)[0], "a")
+	b.want("and begins before an answer that names another primary counts as known", b.sends[0].beginBy, b.now+roleHolds)
+	b.want("which is", roleHolds < 100*ms, true)
+	w := b.ask(onceWrite)
+	b.want("a write goes to", b.to(w)[0], "a")
+	b.want("and begins in its time: hosts check it", b.sends[1].beginBy, b.now+c.Classes[onceWrite].Deadline)
 }
 
 // TestAimPastTheDeadline has a class whose aim lies far past its deadline: what is usual is at first a part of the time that
