--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	retryShare, retryBurst = 0.1, 20.0 // further attempts for each first one, saved up: they must not feed a jam
+	retryShare, retryBurst = 0.1, 20.0 // further attempts for each first one: none must feed a jam
 
 	hedgeAfter  = 3.0                   // times usual before a second copy: about the slowest twentieth
 	pauseFull   = 25 * time.Millisecond // before a write or fresh read asks a full primary again
--- a/rules/evidence.go
+++ b/rules/evidence.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	silenceLimit, failuresMax = 5.0, 2 // times usual unanswered (a live one: e^-5), and failures in a row: one says little
+	silenceLimit, failuresMax = 5.0, 2 // times usual in silence (a live one's: e^-5); breaks in a row
 
 	awayAtLeast = time.Second            // no process that was heard since has died and started again
 	heardLately = 150 * time.Millisecond // and connections that break are no sign of its death for this long
 	laggard     = 300                    // ms behind that neither shipping nor old reports explain
 	tightFor    = 5 * time.Second        // idle connections are shut, after a sign that members lack them
 
-	usualGain, usualClip = 0.03, 4.0         // weight of one answer in a class's usual round trip, of so many at most
-	workGain, workOver   = 0.25, time.Minute // work is near the shortest round trips, forgotten: longer ones queue
+	usualGain, usualClip = 0.03, 4.0         // weight of one answer in what is usual; it counts so much at most
+	workGain, workOver   = 0.25, time.Minute // work is near the shortest round trips; others queue
 
 	sessionsKept = 100000 // remembered session marks, the oldest dropped first: bounds memory
 )
