Take connections that are passed on for as long as a client is served

A server that was told to end took no connection over once its listener was closed, 0.5 s after SIGTERM (accept.go Run, ended), while the older process goes on passing until this one is gone: the connection was closed, and reset over a request that had come.

It takes them until the last client that it serves has ended. The sessions are counted under the server's lock, in place of an errgroup, whose Wait bears no further ones.

--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -59,12 +59,19 @@
 	s.mu.Unlock()
 	<-in.closed
 	s.mu.Lock()
-	s.ended = true
+	defer s.mu.Unlock()
 	if s.kept != nil {
 		s.kept.Close()
 	}
-	s.mu.Unlock()
-	return s.group.Wait()
+	for s.running > 0 { // an older process may pass connections on till the last of them has ended
+		none := make(chan struct{})
+		s.none = none
+		s.mu.Unlock()
+		<-none
+		s.mu.Lock()
+	}
+	s.ended = true
+	return nil
 }
 
 // accept takes clients until the listener is closed, or its backlog is empty as it is about to be. Nobody waits for it
@@ -174,7 +181,18 @@
 	if s.ended {
 		return false
 	}
-	s.group.Go(func() error { f(); return nil })
+	s.running++
+	go func() {
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.running--; s.running == 0 && s.none != nil {
+				close(s.none)
+				s.none = nil
+			}
+		}()
+		f()
+	}()
 	return true
 }
 
--- a/internal/clients/accept_test.go
+++ b/internal/clients/accept_test.go
@@ -269,3 +269,66 @@
 		t.Error(err)
 	}
 }
+
+// TestTakesOverToTheEnd passes a connection with a request in it to a server that was told to end and has closed its listener,
+// while it still has a request under way: it is served. Whoever passed it holds it no more.
+func TestTakesOverToTheEnd(t *testing.T) {
+	hold := make(chan struct{})
+	rig := newRig(false, &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act {
+		if id == "held" {
+			<-hold
+		}
+		return standin.Serve
+	}})
+	defer rig.close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &clients.Server{Name: "to", Front: postgres.Front{}, Core: rig.core, Room: clients.NewRoom(50),
+		Budget: netbuf.NewBudget(rigBudget), Counters: &stats.Counters{}}
+	stopped, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(stopped, l) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p, err := standin.DialPostgres(c, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	half := pgQuery(fmt.Sprintf(look, "held"))
+	p.Write([]byte(half[:20])) // keeps the session at work for longer than a request
+	stop()
+	rig.until(t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	time.Sleep(100 * time.Millisecond)
+	near, far := loopback(t)
+	near.Write([]byte(pgQuery(fmt.Sprintf(look, "passed"))))
+	if !s.TakeOver(far, true, true) {
+		far.Close()
+		t.Error("it is not taken over")
+	}
+	if text, err := io.ReadAll(near); err != nil || !bytes.Contains(text, []byte("value of passed")) {
+		t.Errorf("%q, %v", text, err)
+	}
+	p.Write([]byte(half[20:]))
+	close(hold)
+	p.Read()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if near, far := loopback(t); s.TakeOver(far, true, true) {
+		t.Error("it takes over once it has ended")
+	} else {
+		near.Close()
+		far.Close()
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -15,8 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"cranegate/internal/clients/away"
 	"cranegate/internal/core"
 	"cranegate/internal/netbuf"
@@ -75,15 +73,15 @@
 	// Shared says that other processes hold the listening socket too: clients wait in its queue, whoever closes it.
 	Shared bool
 
-	group errgroup.Group // the sessions
-
 	mu       sync.Mutex
 	intake   *intake         // of the listener that is open, or was last; nil before Run
 	kept     *os.File        // a duplicate of one that is closed, from which it can be opened again
 	retired  bool            // another process takes clients
 	left     chan struct{}   // closed once that is so, or nil; one is made at each change
 	stopping bool            // this process ends
-	ended    bool            // and no client is taken over
+	running  int             // sessions, and clients in the lobby
+	none     chan struct{}   // closed as there are none, or nil while nobody waits for that
+	ended    bool            // and takes nobody any more
 	open     map[string]bool // the ids of open requests
 	logged   time.Time       // when a client at fault was logged last
 }
