--- a/rules/evidence.go
+++ b/rules/evidence.go
@@ -13,7 +13,7 @@
 	laggard     = 300                    // ms behind that neither shipping nor old reports explain
 	tightFor    = 5 * time.Second        // idle connections are shut, after a sign that members lack them
 
-	usualGain, usualClip = 0.03, 4.0         // weight of one answer in what is usual; it counts so much at most
+	usualGain, usualClip = 0.03, 4.0         // weight of one answer in what is usual; its bound
 	workGain, workOver   = 0.25, time.Minute // work is near the shortest round trips; others queue
 
 	sessionsKept = 100000 // remembered session marks, the oldest dropped first: bounds memory
