--- a/internal/optest/load_test.go
+++ b/internal/optest/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -45,6 +46,19 @@
 
 const inFlight = time.Second // a host may read so late what was sent before; on loopback it takes far less
 
+// unhurried gives all classes time that no busy machine uses up, where each request has to be served: one whose time is over
+// is refused with right. The statements have to be unhurried too.
+func unhurried(settings map[string]any) {
+	for _, c := range settings["classes"].([]any) {
+		c := c.(map[string]any)
+		c["aimS"], c["deadlineS"] = patience.Seconds()/4, patience.Seconds()/4
+	}
+}
+
+func unhurriedStatement(id string, group int, write bool) string {
+	return strings.Replace(statement(id, group, write), "d=2000", fmt.Sprint("d=", (patience/4).Milliseconds()), 1)
+}
+
 func statement(id string, group int, write bool) string {
 	if write {
 		return fmt.Sprintf("/* id=%s,c=zusage,d=2000,cluster=%d */ INSERT INTO records (k) VALUES ('%s')", id, group, id)
