Close a listener once, whoever says so: the end of the process or one that takes its clients

Seen under load: panic 'close of closed channel' in intake.close (accept.go) 1.6 s after SIGTERM. Run had closed the listener as the process ended, and word that another process serves came after it; Retire closed it again, and the process died with the requests that it still held. Only a process beside another can meet it; the platform's run has none.

The close is done once. TestTakesOverToTheEnd calls Retire after the close: without the change it panics 5 of 5 times, with it 20 of 20 with -race pass.

--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -24,6 +25,7 @@
 	draining atomic.Bool   // it is about to be closed: what waits in its backlog is taken
 	done     chan struct{} // closed once nobody is taken from it any more
 	closed   chan struct{} // closed once it is closed, or is as soon as an accept that hangs comes back
+	ends     sync.Once     // the end of this process and one that takes its clients may both close it
 }
 
 // accepts begins to take a listener's clients.
@@ -110,7 +112,9 @@
 }
 
 // close closes the listener once its backlog is empty: whoever waits there has a connection, and may have asked.
-func (in *intake) close() {
+func (in *intake) close() { in.ends.Do(in.drain) }
+
+func (in *intake) drain() {
 	in.draining.Store(true)
 	if in.deadline(time.Now()) {
 		in.wait()
@@ -127,8 +131,10 @@
 
 // abandon closes a listener whose clients wait for another process.
 func (in *intake) abandon() {
-	go in.Close() // see accept
-	close(in.closed)
+	in.ends.Do(func() {
+		go in.Close() // see accept
+		close(in.closed)
+	})
 }
 
 func (in *intake) wait() {
--- a/internal/clients/accept_test.go
+++ b/internal/clients/accept_test.go
@@ -271,7 +271,8 @@
 }
 
 // TestTakesOverToTheEnd passes a connection with a request in it to a server that was told to end and has closed its listener,
-// while it still has a request under way: it is served. Whoever passed it holds it no more.
+// while it still has a request under way: it is served. Whoever passed it holds it no more. That another process takes its
+// clients is said only then.
 func TestTakesOverToTheEnd(t *testing.T) {
 	hold := make(chan struct{})
 	rig := newRig(false, &standin.Host{Primary: true, Act: func(id, _ string, _ bool) standin.Act {
@@ -310,6 +311,7 @@
 		return err != nil
 	})
 	time.Sleep(100 * time.Millisecond)
+	s.Retire() // the process that goes on says so late
 	near, far := loopback(t)
 	near.Write([]byte(pgQuery(fmt.Sprintf(look, "passed"))))
 	if !s.TakeOver(far, true, true) {
