Give the test of newcomers side by side a room that lets eight of them wait

Room and lobby were sized by two parts: a room of two places lets one wait since small descriptor limits are shared out, and the test, which has five wait, failed each time (four were told at once). It takes a room of 32 now, cut to two places.

--- a/internal/clients/accept_test.go
+++ b/internal/clients/accept_test.go
@@ -150,8 +150,9 @@
 // theirs or a no within 0.4 s. One behind the other the fourth is told 0.49 s after it came, the fifth later.
 func TestNewcomersWaitSideBySide(t *testing.T) {
 	inBubble(t, func() error {
-		rig := newRigFor(2, 1, false, &standin.Host{Primary: true})
+		rig := newRigFor(32, 1, false, &standin.Host{Primary: true}) // a room so large has eight wait
 		defer rig.close()
+		rig.room.Resize(2)
 		for i, pause := range []time.Duration{200 * time.Millisecond, 10 * time.Millisecond} {
 			a, err := rig.asker("postgres")
 			if err != nil {
