Have bounded reads that members do not check pay for the probes they want

Cause: members answer from what they have and nobody reports; a read may go only where a position within 1.5 s is known, a gateway of a large site meets a member too seldom for that, and probes earn 0.05 a request there (Router.Request, probeAll), so all reads want the primary.

Where members do not check, a bounded read earns one probe, and members of a group where a read found nobody fresh are probed as in a search. Sites whose members check are decided as before. Constants share lines.

--- a/rules/admit.go
+++ b/rules/admit.go
@@ -1,8 +1,8 @@
 package rules
 
 const (
-	shedBelow    = 0.9   // expected worth under which a growing share is refused,
-	shedRamp     = 0.3   // all but a trickle of them when it is lower by this
+	shedBelow, shedRamp = 0.9, 0.3 // expected worth under which a growing share is refused, to a trickle
+
 	trickle      = 0.05  // keeps evidence coming while shedding, so that it ends
 	pressedBelow = 0.8   // expected worth under which work past a tenant's share is refused
 	askedKept    = 200.0 // requests over which tenants' parts are counted: good to 0.04
--- a/rules/chance.go
+++ b/rules/chance.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	windowLen = 40              // round trips kept a member: a share good to about 0.03
-	windowAge = 4 * time.Second // older round trips say little of a member's load now
-	prior     = 2.0             // answers of its role count as a member's own: it may have none
-	sureCores = 2               // attempts that any member works on at once; the rest may be queued
+	windowLen, windowAge = 40, 4 * time.Second // round trips kept a member; older say little
+
+	prior     = 2.0 // answers of its role count as a member's own: it may have none
+	sureCores = 2   // attempts that any member works on at once; the rest may be queued
 )
 
 // sample is one round trip over its class's usual; censored ones lasted at least so long.
--- a/rules/events.go
+++ b/rules/events.go
@@ -42,7 +42,11 @@
 	}
 	r.worth += (c.Worth - r.worth) / askedKept
 	r.weight += (q.usual.Seconds() - r.weight) / askedKept
-	r.probes = min(probeBurst, r.probes+probeShare*min(1, probeMembers/float64(1+len(r.sorted))))
+	share := probeShare * min(1, probeMembers/float64(1+len(r.sorted)))
+	if r.cfg.Guards == GuardNone && c.Need == NeedBounded {
+		share = 1 // members do not check: one may have to be asked first
+	}
+	r.probes = min(probeBurst, r.probes+share)
 	r.requests[q.ID], r.open = q, append(r.open, q)
 	r.advance(q)
 	r.setTimer()
--- a/rules/evidence.go
+++ b/rules/evidence.go
@@ -8,10 +8,10 @@
 const (
 	silenceLimit, failuresMax = 5.0, 2 // times usual in silence (a live one's: e^-5); breaks in a row
 
-	awayAtLeast = time.Second            // no process that was heard since has died and started again
-	heardLately = 150 * time.Millisecond // and connections that break are no sign of its death for this long
-	laggard     = 300                    // ms behind that neither shipping nor old reports explain
-	tightFor    = 5 * time.Second        // idle connections are shut, after a sign that members lack them
+	awayAtLeast, heardLately = time.Second, 150 * time.Millisecond // no restart or death shows so soon
+
+	laggard  = 300             // ms behind that neither shipping nor old reports explain
+	tightFor = 5 * time.Second // idle connections are shut, after a sign that members lack them
 
 	usualGain, usualClip = 0.03, 4.0         // weight of one answer in what is usual; its bound
 	workGain, workOver   = 0.25, time.Minute // work is near the shortest round trips; others queue
--- a/rules/probe.go
+++ b/rules/probe.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	probeUnheard = 300 * time.Millisecond // a member unheard for this is probed: reports age about as fast
-	probeSearch  = 100 * time.Millisecond // the same while a group's primary is sought
-	probeShare   = 0.25                   // probes for each request: quiet gateways need not know everyone
-	probeMembers = 12.0                   // past this each is met too seldom for as many to pay
-	probeBurst   = 30.0                   // and this many saved up, for a start or a search
-	doubtsMost   = 8                      // probes of doubtful zones at each look
+	probeUnheard, probeSearch = 300 * time.Millisecond, 100 * time.Millisecond // unheard; in a search
+
+	probeShare, probeMembers = 0.25, 12.0 // for each request, fewer past so many: each is met seldom
+
+	probeBurst = 30.0 // and this many saved up, for a start or a search
+	doubtsMost = 8    // probes of doubtful zones at each look
 )
 
 // probeAll probes members unheard lately, in turn: where there is doubt (silence, lag, a primary sought) and
@@ -17,7 +17,8 @@
 	for i, n, doubts := r.probeNext, len(r.sorted), 0; n > 0; i, n = i+1, n-1 {
 		m, few := r.sorted[i%len(r.sorted)], len(r.sorted)+r.cfg.Gateways <= probeBurst
 		after, least, p := probeUnheard, probeBurst/2, m.group.primary()
-		if r.suspect(m) || (p == nil || r.suspect(p)) && r.now-m.group.soughtAt < probeUnheard {
+		lost := p == nil || r.suspect(p) || r.cfg.Guards == GuardNone // then what is unheard can't be read
+		if r.suspect(m) || lost && r.now-m.group.soughtAt < probeUnheard {
 			after, least = max(probeSearch, (r.now-m.heardAt)/8), -probeBurst
 		} else if r.ms(m.posAt)-m.position > laggard {
 			least = 1
--- a/rules/probe_test.go
+++ b/rules/probe_test.go
@@ -122,3 +122,35 @@
 		}
 	}
 }
+
+// TestReadsThatMembersDoNotCheckFindFreshOnes has a gateway that sees little of a large site whose members answer from what they
+// have. No position that it knows is recent enough for a bounded read, and the primary has no room: members of that group are
+// asked, though the budget for probes is spent, and the read goes to one that has told.
+func TestReadsThatMembersDoNotCheckFindFreshOnes(t *testing.T) {
+	for _, guards := range []Guard{GuardNone, GuardWait} {
+		c := config()
+		c.Guards = guards
+		b := newRig(t, c)
+		b.told("a", 10*ms)
+		b.pass(10 * time.Second)
+		for _, m := range b.r.sorted {
+			m.probing, m.heardAt = false, b.now
+		}
+		a := b.r.members["a"]
+		for len(a.out) < 20 {
+			a.out = append(a.out, &attempt{q: &request{}, m: a, sentAt: b.now - 100*time.Second, usual: 2 * time.Second})
+		}
+		b.probes, b.r.probes = nil, 0
+		q := b.ask(boundedRead)
+		b.want("sent at once where members check", len(b.to(q)) == 1, guards != GuardNone)
+		b.want("it pays for a probe", b.r.probes == 1, guards == GuardNone)
+		b.pass(120 * ms)
+		b.want("probes for the read", len(b.probes) > 0, guards == GuardNone)
+		if guards != GuardNone {
+			continue
+		}
+		b.told("a", 10*ms)
+		b.pass(50 * ms)
+		b.want("sent once a member has told", len(b.to(q)) == 1 && b.to(q)[0] != "a", true)
+	}
+}
