Count the time of requests behind others from when they came

Ruled out: ends of connections with commands unread and answers that do not leave whole (the trace shows no end of ours on those connections, and all answers left in order), the core's guard (no event=overdue), lists and primaries (the request was sent at once).

At fault: Session.Next set the time of a request as it was read, which for what stands behind others is its turn (internal/clients/clients.go). netbuf.Conn now keeps when its unread bytes came, bounded, and the session asks it. What is hopeless at its turn was refused at once already, and deadlines and what hosts are told follow.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -160,8 +160,8 @@
 	Moves   bool      // nothing is known of it but what Resumes tells: another process may go on with it; set by the front
 	starts  time.Time // until when the client must have said who it is; zero once it has
 	proves  time.Time // until when a first request must be whole; zero once one was good
-	arrived time.Time
-	faults  int // messages in a row that could not be used
+	arrived time.Time // when the last byte of the message in hand came; it may have stood behind others since
+	faults  int       // messages in a row that could not be used
 
 	leaving atomic.Bool // its place is wanted: it ends unless something has come
 	resting time.Time   // since when nothing is open, zero while something is; like the next two, owned by the room
@@ -242,8 +242,7 @@
 		x.SetReadDeadline(time.Now().Add(lastRead))
 		err = read()
 	}
-	x.arrived = time.Now()
-	if err != nil {
+	if x.arrived = x.Came(); err != nil {
 		return x.gone(err)
 	}
 	return nil
--- a/internal/netbuf/netbuf.go
+++ b/internal/netbuf/netbuf.go
@@ -61,6 +61,7 @@
 	budget *Budget // pays for buf past its first size
 	taken  int
 	left   atomic.Bool // Left has said yes
+	came   arrivals
 
 	mu     sync.Mutex
 	parked bool
@@ -76,6 +77,7 @@
 // Release gives back what the buffer has taken; the connection reads no more.
 func (c *Conn) Release() {
 	c.budget.Give(c.taken)
+	c.came.reads = nil
 	c.buf, c.r, c.w, c.taken = nil, 0, 0, 0
 }
 
@@ -116,7 +118,15 @@
 }
 
 // Skip consumes n bytes that Need returned. They stay valid until the next read.
-func (c *Conn) Skip(n int) { c.r += n }
+func (c *Conn) Skip(n int) {
+	c.r += n
+	c.came.skip(n)
+}
+
+// Came is when the last byte that Skip consumed had come, as far as a read told: a message that stands behind others came
+// before its turn. It may be taken for a little older than it is, never for younger than the read that brought it; zero before
+// the first.
+func (c *Conn) Came() time.Time { return c.came.last }
 
 // fill reads once, after making room for n unread bytes in all.
 func (c *Conn) fill(n int) error {
@@ -145,6 +155,7 @@
 	got, err := c.Conn.Read(c.buf[c.w:])
 	c.w += got
 	if got > 0 {
+		c.came.add(got, time.Now())
 		return nil
 	}
 	return err
