Have marked retries wait while first tries of their class are shed

A marked retry now goes only where no first try would be refused, and not within an aim of the last first try of its class that its group refused for load. Refused retries keep no others waiting, and where nothing is known all go.

Test: TestMarkedRetriesGetNoSecondDraw; without the mend it fails.

--- a/rules/admit.go
+++ b/rules/admit.go
@@ -3,20 +3,24 @@
 const (
 	shedBelow, shedRamp = 0.9, 0.3 // expected worth under which a growing share is refused, to a trickle
 
-	trickle      = 0.05  // keeps evidence coming while shedding, so that it ends
-	pressedBelow = 0.8   // expected worth under which work past a tenant's share is refused
-	askedKept    = 200.0 // requests over which tenants' parts are counted: good to 0.04
+	trickle, pressedBelow = 0.05, 0.8 // sent all the same, as evidence; worth under which excess is refused
+	askedKept             = 200.0     // requests over which tenants' parts are counted: good to 0.04
 )
 
-// admit refuses a share of what would likely come too late, less of what is worth more for its work. The
-// share falls as answers get better, and some always go, so a shed group comes back by itself. Work past a
-// tenant's share goes first.
+// admit refuses a share of what would likely come too late, less of what is worth more for its work, past a
+// quota first; some always go, so it ends by itself. Marked retries had their draw: they wait till it has.
 func (r *Router) admit(q *request, m *member) bool {
 	v := 1 - (1-r.product(q, m))*min(1, r.worth/r.weight*q.usual.Seconds()/max(q.class.Worth, 1e-9))
 	if q.over && v < pressedBelow {
 		v *= r.cfg.OverShareWorth
 	}
-	return v >= shedBelow-shedRamp*r.rng.Float64() || r.rng.Float64() < trickle
+	shed := v < shedBelow-shedRamp*r.rng.Float64() && r.rng.Float64() >= trickle
+	if q.Repeat { // one that waits must not keep others waiting
+		return v >= shedBelow && r.now >= q.group.shedTo[q.Class]
+	} else if shed {
+		q.group.shedTo[q.Class] = r.now + q.class.Aim
+	}
+	return !shed
 }
 
 // overShare says, with the odds of it, that a request is past its tenant's share: by the part of our
--- a/rules/admit_test.go
+++ b/rules/admit_test.go
@@ -79,3 +79,39 @@
 		t.Errorf("refused %d reads worth 1 and %d writes worth 4", refused[anyRead], refused[onceWrite])
 	}
 }
+
+// TestMarkedRetriesGetNoSecondDraw has a quarter of the answers come too late: of first tries a share goes, of marked retries none, as
+// each draw of theirs would let the same share of them in again. Where answers are in time, or a gateway has seen none, all go,
+// but those of a class that their group has shed: they wait till an aim has passed without.
+func TestMarkedRetriesGetNoSecondDraw(t *testing.T) {
+	b := newRig(t, config())
+	b.told("a", 10*ms)
+	repeat := func(q *Request) { q.Repeat = true }
+	b.want("a retry where nothing is known", len(b.to(b.ask(anyRead, repeat))), 1)
+	sent := func(n int, ratio float64, change func(*Request)) (sent int) {
+		for range n {
+			for _, m := range b.r.sorted {
+				m.window, m.out = nil, nil
+				for i := range 40 {
+					s := sample{at: b.now, ratio: 0.1}
+					if i%4 == 0 {
+						s.ratio = ratio
+					}
+					b.r.addSample(m, s)
+				}
+			}
+			sent += len(b.to(b.ask(anyRead, change)))
+		}
+		return sent
+	}
+	first, again := sent(400, 1e3, func(*Request) {}), sent(400, 1e3, repeat)
+	if first < 50 || first > 350 || again > 0 {
+		t.Errorf("%d of 400 first tries and %d of 400 retries were sent where a quarter of the answers come late", first, again)
+	}
+	b.want("retries sent as answers are in time again, but some were shed just now", sent(10, 0.1, repeat), 0)
+	b.want("first tries then", sent(100, 0.1, func(*Request) {}), 100)
+	b.pass(b.r.cfg.Classes[anyRead].Aim / 2)
+	b.want("retries sent half an aim later", sent(10, 0.1, repeat), 0)
+	b.pass(b.r.cfg.Classes[anyRead].Aim / 2) // those that were refused since keep none waiting
+	b.want("retries sent an aim later", sent(100, 0.1, repeat), 100)
+}
--- a/rules/chance.go
+++ b/rules/chance.go
@@ -24,8 +24,7 @@
 	r.pools[m.role == RolePrimary] = append(pool[max(0, len(pool)-windowLen+1):], s)
 }
 
-// crowding is how much longer answers take when so many attempts of ours are at a member: those past what it
-// surely works on at once wait in line. It lets the chance follow the load at once, up and down.
+// crowding is how much longer answers take with so many of our attempts there: those past sureCores queue.
 func crowding(out int) float64 { return float64(max(out, sureCores)) / sureCores }
 
 // chance is the share of a member's recent round trips within a time. Attempts out for longer count as too
--- a/rules/events.go
+++ b/rules/events.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-const sweepEvery = 20 * time.Millisecond // how often open requests are looked at again; well under any aim
-const lookEvery = 100 * time.Millisecond // and members and the list: with hundreds of them a walk is dear
+const sweepEvery, lookEvery = 20 * time.Millisecond, 100 * time.Millisecond // looks at requests; at members
 
 // wake moves the clock. Where sweeps are long overdue this gateway stood still: members were not silent.
 func (r *Router) wake(now time.Duration) {
@@ -103,8 +102,7 @@
 	}
 }
 
-// Probed takes the end of a probe. A probe shows that the process runs: it ends doubts of the connection, but
-// those of silence only with a position that has moved on.
+// Probed takes the end of a probe: it ends doubts of the connection, of silence if the position moved on.
 func (r *Router) Probed(now time.Duration, p ProbeResult) {
 	r.wake(now)
 	m := r.members[p.Member]
--- a/rules/helpers.go
+++ b/rules/helpers.go
@@ -82,7 +82,7 @@
 func (r *Router) groupOf(number int) *group {
 	g := r.groups[number]
 	if g == nil {
-		g = &group{}
+		g = &group{shedTo: make([]time.Duration, len(r.cfg.Classes))}
 		r.groups[number] = g
 	}
 	return g
--- a/rules/router.go
+++ b/rules/router.go
@@ -57,16 +57,15 @@
 	usable, drained, leader, probing bool          // may be sent work; listed draining; listed primary
 	size, value                      float64       // value: product for the read being placed
 	startedAt, heardAt, trialAt      time.Duration // heardAt: last answer; trialAt: next trial while suspect
-	position                         int64         // highest told, in ms, at posAt
 	role                             Role
-	roleDate                         int64   // position at which the role was told: claims are ordered by it
+	position, roleDate               int64   // highest told, in ms, at posAt; the one of its role
 	failed, shut                     int     // connects and connections broken since it was heard; connects
 	lost                             float64 // longest silence on attempts that have ended unanswered
 	window                           []sample
 	out                              []*attempt // in order of sends
 	down                             bool       // a probe could not reach it; heard again it started anew
-	posAt, probedAt, creditAt        time.Duration
-	seenAt, askedAt                  time.Duration // last answer to a probe; first probe since
+	posAt, creditAt                  time.Duration
+	probedAt, seenAt, askedAt        time.Duration // last probe; last answer to one; first since
 	was, awayAt                      time.Duration // startedAt before it went with its zone, heard at awayAt
 	credit                           float64       // while cold: work that may be sent, in s, as of creditAt
 }
@@ -74,10 +73,11 @@
 // group is one primary and its replicas, sorted by id.
 type group struct {
 	members            []*member
-	next               int           // where the search for the primary goes on
-	seeking            *attempt      // a search attempt that is out
-	searchAt, soughtAt time.Duration // from when the next may go; when a request last wanted it in vain
-	vain               float64       // share of requests of late that ended unanswered
+	next               int             // where the search for the primary goes on
+	seeking            *attempt        // a search attempt that is out
+	searchAt, soughtAt time.Duration   // from when the next may go; when a request last wanted it in vain
+	shedTo             []time.Duration // by class: an aim past the last first try refused for load
+	vain               float64         // share of requests of late that ended unanswered
 }
 
 type attempt struct {
@@ -94,7 +94,6 @@
 	usual                             *time.Duration
 	group                             *group
 	deadline, aimAt, limit            time.Duration // an answer past aimAt earns less, past limit nothing
-	heldTo                            time.Duration // unsent till then it is refused
 	reached                           bool          // a member has had it, though it may have turned it away
 	need                              int64         // position that fresh and session reads need
 	out                               []*attempt
@@ -102,6 +101,6 @@
 	mayRun, ran                       bool          // an attempt may have run; one that is over may have
 	ranAt                             time.Duration // the earliest of them was sent then
 	missed                            []*member     // turned this request away
-	pause                             time.Duration // nothing is sent before
+	heldTo, pause                     time.Duration // unsent till then it is refused; nothing is sent before
 	over, atPrimary, ended, streaming bool          // past its tenant's share; only the primary can serve it
 }
