--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -40,6 +40,9 @@
 	// Tell is what the host says of itself, in answers or, where report is set, in reports: its position in Unix
 	// milliseconds. Nil: Primary, at the present.
 	Tell func(report bool) (primary bool, position int64)
+	// Reports has answers carry the report, as a database host does whose load reports come with answers. Its position is told
+	// nowhere else then.
+	Reports bool
 	// PrepareFor is how long a prepare takes.
 	PrepareFor time.Duration
 	// Spoil makes something else of a request's answer; nil leaves all as they are.
@@ -150,6 +153,9 @@
 	if primary {
 		role = "primary"
 	}
+	if h.Reports {
+		return [][2]string{{"replication_role", role}, {"pressure", h.report()}}
+	}
 	return [][2]string{{"replication_role", role}, {"log_position", strconv.FormatInt(position, 10)}}
 }
 
