Take 1,024 gateways to join, in a view, and as the council's clients

A fleet has up to 350 gateways, and no list of them is to end under 1,024; join ended at 64, a view at 1,000 (further ones were refused in silence), results were kept of 512 of the council's clients, and 256 requests waited at a voter.

All are 1,024 now. One address more is TooManyJoins, a gateway more is event=fleet_full in the log, once a minute, with FleetFull: both say what can be done. 1,024 rows of the longest names fit the stream of 256 KiB as it was; nothing is allocated ahead.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -78,8 +78,15 @@
 // longest is the length of the names and addresses that members tell each other, in bytes.
 const longest = 64
 
-// mostJoin bounds the addresses to join: any member tells of all others.
-const mostJoin = 64
+// mostJoin bounds the addresses to join: every gateway of the largest fleet (members.Options.Most).
+const mostJoin = 1024
+
+// TooManyJoins says that join lists more addresses than a fleet may have gateways.
+type TooManyJoins struct{ Listed int }
+
+func (e TooManyJoins) Error() string {
+	return fmt.Sprintf("join has %d addresses, %d are the most; leave some out: any gateway that is reached tells of all others", e.Listed, mostJoin)
+}
 
 // check fills in defaults, reads the keys and names what is wrong.
 func (f *Fleet) check(s *Settings) error {
@@ -99,7 +106,7 @@
 		}
 	}
 	if len(f.Join) > mostJoin {
-		return fmt.Errorf("join has %d addresses; %d are enough", len(f.Join), mostJoin)
+		return TooManyJoins{len(f.Join)}
 	}
 	outside := false
 	for i, x := range append([]string{f.Listen, f.Advertise}, f.Join...) {
--- a/internal/council/facts/command.go
+++ b/internal/council/facts/command.go
@@ -18,7 +18,7 @@
 	MaxValue      = 8 << 10  // bytes of a value
 	MaxRegisters  = 4096
 	MaxValues     = 512 << 10 // bytes of all registers, with 64 for each
-	MaxClients    = 512       // whose results are kept
+	MaxClients    = 1024      // whose results are kept: every gateway of the largest fleet may be one
 	Window        = 8         // results kept for one client
 	Expiry        = 16384     // places in the order after which a client's results, and requests born before, are refused
 	MaxHolders    = 2048
--- a/internal/council/order/message.go
+++ b/internal/council/order/message.go
@@ -21,8 +21,8 @@
 	MaxMessage  = facts.MaxState + 128<<10 // bytes of one that carries a snapshot
 	maxSmall    = 160 << 10                // bytes of any other
 	maxFeed     = 64 << 10                 // bytes of entries in a feed or in one of raft's messages
-	maxAsks     = 256                      // requests that wait at a voter
-	maxReads    = 256                      // reads that wait at a voter
+	maxAsks     = 1024                     // requests that wait at a voter: one of every gateway of the largest fleet
+	maxReads    = 1024                     // reads that wait at a voter, likewise
 	maxOut      = 4096                     // messages that wait for Ready
 	maxPending  = 1 << 20                  // bytes proposed and not committed
 	keepEntries = 1024                     // entries before the log is compacted; a quarter stays for those who lag a little
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -97,6 +97,9 @@
 	New  bool
 }
 
+// DefaultMost is the number of members of the largest fleet. Rows are kept for those alone that are there.
+const DefaultMost = 1024
+
 // Options are the settings. Zero values take the defaults.
 type Options struct {
 	Fleet, Name, Zone, Addr string
@@ -104,7 +107,7 @@
 	Gateways                int      // that are expected: counted on until the fleet is known
 	Seed                    uint64
 	Period                  time.Duration // between two probes of one's own; 250 ms
-	Most                    int           // members at most; 1000
+	Most                    int           // members at most, this one included; DefaultMost
 	Plain                   bool          // for comparisons: SWIM with one trial of each kind, hearsay, and no doubt of oneself
 }
 
@@ -213,7 +216,7 @@
 	if o.Most < 0 || o.Period < 0 {
 		return nil, errors.New("members: a bound below 0")
 	}
-	o.Period, o.Most = cmp.Or(o.Period, 250*time.Millisecond), cmp.Or(o.Most, 1000)
+	o.Period, o.Most = cmp.Or(o.Period, 250*time.Millisecond), cmp.Or(o.Most, DefaultMost)
 	n := &Node{opt: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), table: map[Start]*entry{}, pings: map[uint64]Start{},
 		now: now, heardAt: now, answerAt: now, quietAt: now, syncAt: now + syncGap, settled: map[Start]bool{},
 		counted: max(1, o.Gateways)}
--- /dev/null
+++ b/internal/peers/caps_test.go
@@ -0,0 +1,79 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+
+	"cranegate/internal/members"
+)
+
+// lines is a log that tests read while others write.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) { l.mu.Lock(); defer l.mu.Unlock(); return l.b.Write(b) }
+
+func (l *lines) String() string { l.mu.Lock(); defer l.mu.Unlock(); return l.b.String() }
+
+// TestViewOfAThousandGateways tells a gateway on sockets of 1,023 others by a stream, as at a start: its view has all of them,
+// and what it tells in turn is sent whole. The 1,025th is refused, in the view and in the log, with what to do, and once.
+func TestViewOfAThousandGateways(t *testing.T) {
+	var log lines
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	t.Cleanup(func() { slog.SetDefault(old) })
+	p := listen(t, "a", nil)
+	run(t, p)
+	row := func(i int) members.Row {
+		return members.Row{Start: members.Start(i + 1), Name: fmt.Sprintf("gateway-%04d", i), Zone: fmt.Sprint("zone-", i%3),
+			Addr: fmt.Sprintf("127.0.0.1:%d", 1+i%2), Beat: 1}
+	}
+	first := row(0)
+	first.Addr = "127.0.0.1:1"
+	m := members.Message{Kind: members.Synced, Fleet: "f", From: first}
+	for i := 1; i < 1023; i++ {
+		m.Rows = append(m.Rows, row(i))
+	}
+	text, err := members.Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.stream(p.Addr(), text)
+	var v View
+	eventually(t, "the view is whole", func() bool {
+		if v, err = p.View(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		return len(v.Members) >= 1023
+	})
+	if v.Size != 1024 || v.Refused != 0 || strings.Contains(log.String(), "fleet_full") {
+		t.Errorf("counts on %d, refused %d", v.Size, v.Refused)
+	}
+	if b, err := json.Marshal(v); err != nil || len(b) > 4<<20 { // what cranegate members reads at most
+		t.Errorf("the view takes %d bytes, %v", len(b), err)
+	}
+	for beat := range 3 {
+		late := row(2000)
+		late.Beat = uint64(beat + 1)
+		b, err := members.Encode(members.Message{Kind: members.Ping, Fleet: "f", From: late})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.take(b, false)
+	}
+	eventually(t, "the 1,025th is refused", func() bool {
+		v, err = p.View(context.Background())
+		return err == nil && v.Refused >= 3 && strings.Contains(log.String(), "fleet_full")
+	})
+	if told := log.String(); strings.Count(told, "fleet_full") != 1 || !strings.Contains(told, FleetFull{1024}.Error()) || len(v.Members) != 1023 {
+		t.Errorf("%d members; the log says it %d times: %.300s", len(v.Members), strings.Count(told, "fleet_full"), told[strings.Index(told, "fleet_full"):])
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -34,6 +34,7 @@
 	dialFor     = time.Second
 	streamFor   = 3 * time.Second // for all of one
 	leaveFor    = 200 * time.Millisecond
+	refusedGap  = time.Minute // between two log lines about members for which there is no room
 )
 
 // Options are the settings.
@@ -59,6 +60,8 @@
 	sending errgroup.Group
 	size    int
 	part    float64
+	refused int           // of which the log has told,
+	toldAt  time.Duration // and when
 	mail    chan members.Message
 	calls   chan func()
 	done    chan struct{}
@@ -175,6 +178,7 @@
 	for _, m := range out {
 		p.send(m)
 	}
+	p.tellRefused()
 	if size, part := p.node.Size(), p.node.Part(); size != p.size || part != p.part {
 		if p.size != 0 {
 			slog.Info("event=fleet_counted", "gateways", size, "part", part, "before", p.size)
@@ -186,6 +190,23 @@
 	}
 }
 
+// tellRefused logs that there was no room for a member: each that goes on speaking is refused many times a second.
+func (p *Peers) tellRefused() {
+	n, now := p.node.Refused(), p.now()
+	if n == p.refused || p.refused > 0 && now-p.toldAt < refusedGap {
+		return
+	}
+	p.refused, p.toldAt = n, now
+	slog.Warn("event=fleet_full", "error", FleetFull{1 + len(p.node.Members())}, "refused", n)
+}
+
+// FleetFull says that a gateway was not taken in, as the view is full.
+type FleetFull struct{ Gateways int }
+
+func (e FleetFull) Error() string {
+	return fmt.Sprintf("the fleet has %d gateways, the most that one may have; end some, or give those beyond a fleet (fleet.fleet) of their own", e.Gateways)
+}
+
 // tell logs and counts a change.
 func (p *Peers) tell(c members.Change) {
 	from := c.From.String()
