Hear lists of up to 2 MiB: 1,024 hosts with the longest ids and endpoints

1,024 hosts fitted 1 MiB with 1,024 bytes each, not with ids of 256 bytes that JSON escapes and names of 253. The bound is 2 MiB; the buffer grows as bytes come, and what is longer is TooLong as before.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -32,7 +32,7 @@
 	glancePatience = 2150 * time.Millisecond // a service with too many calls turns them away after up to 2 s
 	wholeFor       = 4500 * time.Millisecond // for a first list: where none is known nothing is sent that it could forbid
 	dialFor        = 400 * time.Millisecond  // the agent stands on this machine
-	mostTold       = 1 << 20
+	mostTold       = 2 << 20                 // bytes of an answer: 2 KiB for each of 1,024 hosts; the buffer grows as they come
 )
 
 // errClosed says that discovery has ended the connection behind an answer, as it may.
