Give hosts' mailboxes room by the number of hosts: 2 MiB for 1,024, not 16

Each host's actor took a mailbox of 1,024 places, 16 KiB, as it was listed: 16 MiB for 1,024 hosts, of a gateway that may have 32. Up to 128 hosts it stays so; beyond, the places of all together stay 128 Ki, and 128 for each at least.

Measured: go test -race of internal/servers passes; the sizes follow from the types, resident memory was not measured.

--- a/internal/servers/host.go
+++ b/internal/servers/host.go
@@ -13,8 +13,18 @@
 	"cranegate/rules"
 )
 
-// mailboxSize bounds what waits for a host's actor.
-const mailboxSize = 1024
+// What may wait for a host's actor, and for those of all hosts together: the actors only sort, so that hundreds of hosts need
+// no room for a crowd at each. A place takes 16 bytes, as soon as the host is listed.
+const (
+	mailboxSize  = 1024
+	mailboxLeast = 128
+	mailboxesAll = 128 << 10
+)
+
+// mailboxOf is the size of a mailbox among so many hosts: 1,024 up to 128 hosts, 128 from 1,024 hosts on.
+func mailboxOf(hosts int) int {
+	return min(mailboxSize, max(mailboxLeast, mailboxesAll/max(1, hosts)))
+}
 
 const (
 	restFor   = 100 * time.Millisecond // a connection rests after an answer: what does not belong to it may follow
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -124,7 +124,7 @@
 		if x.Entry.Phase != rules.PhaseOff {
 			listed[name] = true
 			if p.hosts[name] == nil {
-				p.add(name, x.Address)
+				p.add(name, x.Address, max(len(l.Hosts), len(p.hosts)+1))
 			}
 		}
 	}
@@ -138,8 +138,9 @@
 	p.keep.sized(len(p.hosts))
 }
 
-func (p *Pool) add(name, address string) {
-	h := &host{pool: p, name: name, address: address, mailbox: make(chan any, mailboxSize)}
+// add lists a host, one of so many.
+func (p *Pool) add(name, address string, hosts int) {
+	h := &host{pool: p, name: name, address: address, mailbox: make(chan any, mailboxOf(hosts))}
 	h.ctx, h.retire = context.WithCancel(p.ctx)
 	p.hosts[name] = h
 	p.group.Go(h.run)
