Keep 1,024 hosts that were called back, as long as bans don't want their room

A process kept the registers of 512 hosts that were called back, and forgot the oldest past that. It keeps 1,024 now, and goes down to 512 where bans need the room: as many bans fit as before (3,520, and 1,036 with the longest ids), and nothing written is more than processes of before take (4,096 registers, 1 MiB).

--- a/internal/handover/state/bounds.go
+++ b/internal/handover/state/bounds.go
@@ -9,7 +9,8 @@
 const (
 	MaxID    = 256           // bytes of a host's id
 	MaxHosts = 4096          // registers of hosts, out and back
-	MaxBack  = 512           // of them that say "not out"
+	MaxBack  = 1024          // of them that say "not out",
+	keptBack = 512           // of which so many stay also where bans want the room of the others
 	MaxBytes = 1<<20 - 16384 // of a snapshot as JSON or CBOR; less than a frame or a file may have
 
 	spare      = 64  // registers that Reserve leaves free, for calls to two processes at once
@@ -42,13 +43,14 @@
 }
 
 func (r Registers) roomFor(id string) bool {
+	r = r.trim(keptBack)
 	out := 0
 	for _, e := range r.hosts {
 		if e.On {
 			out++
 		}
 	}
-	return out < MaxHosts-MaxBack-spare && r.bytes()+entryBytes+2*len(id) <= MaxBytes-spare*(entryBytes+2*MaxID)
+	return out < MaxHosts-keptBack-spare && r.bytes()+entryBytes+2*len(id) <= MaxBytes-spare*(entryBytes+2*MaxID)
 }
 
 func (r Registers) within(hosts, bytes int) bool { return len(r.hosts) <= hosts && r.bytes() <= bytes }
--- a/internal/handover/state/registers.go
+++ b/internal/handover/state/registers.go
@@ -82,16 +82,27 @@
 	return m, nil
 }
 
-// Trim forgets registers that say "not out", the oldest first, past MaxBack of them. Only a process that has missed
-// MaxBack later calls could bring such a host's ban back: the host would be out, never in by mistake.
+// Trim forgets registers that say "not out", the oldest first, past MaxBack of them, or past keptBack where
+// the bans need the room: what a process writes must fit others of before, which hold no more than MaxHosts and MaxBytes
+// either. Only a process that has missed keptBack later calls could bring such a host's ban back: the host would be out,
+// never in by mistake.
 func (r Registers) Trim() Registers {
+	r = r.trim(MaxBack)
+	if !r.within(MaxHosts-spare, MaxBytes-spare*(entryBytes+2*MaxID)) {
+		r = r.trim(keptBack)
+	}
+	return r
+}
+
+// trim forgets the oldest registers that say "not out" past so many.
+func (r Registers) trim(most int) Registers {
 	var back []string
 	for id, e := range r.hosts {
 		if !e.On {
 			back = append(back, id)
 		}
 	}
-	if len(back) <= MaxBack {
+	if len(back) <= most {
 		return r
 	}
 	slices.SortFunc(back, func(a, b string) int {
@@ -101,7 +112,7 @@
 		return -1
 	})
 	r.hosts = maps.Clone(r.hosts)
-	for _, id := range back[:len(back)-MaxBack] {
+	for _, id := range back[:len(back)-most] {
 		delete(r.hosts, id)
 	}
 	return r
