Link up to 1,024 processes in a folder, with clients' places for their descriptors

A process knew 16 others in its folder and took 64 connections of theirs, but descriptors were set aside for two. Of those that hand their clients over a fifth waited unread until one of four ended, while its clients counted as handed over. What a newer process is told ended at 512 KiB, and past that nothing was told: 150 hosts with 40 round trips each take 532 KB.

1,024 others, 2,048 connections and 1,024 that hand over are taken. Past the two links that are set aside each takes a place of the clients' (Room.Lend, half of them at most): idle clients give way, and nothing is opened before there is a place. What is refused is told in the log and by calls, with what to do; a sender that is refused keeps its connections, and what it sent before is taken. What is told may have 1 MiB less 16 KiB, as frames of all versions may; what does not fit is left out in order, round trips first, lists and starts last.

--- a/cmd/cranegate/handover.go
+++ b/cmd/cranegate/handover.go
@@ -13,6 +13,7 @@
 	"cranegate/internal/handover"
 	"cranegate/internal/handover/pass"
 	"cranegate/internal/handover/state"
+	"cranegate/internal/handover/talk"
 	"cranegate/internal/list"
 	"cranegate/rules"
 )
@@ -57,7 +58,7 @@
 	}
 	g.applied = make(chan struct{})
 	h, err := handover.Open(g.work, handover.Options{Dir: dir, Apply: g.apply, Export: g.export, Newer: g.hasNewer,
-		Superseded: g.superseded, Restored: g.restored, Alone: g.alone, Counters: g.counters})
+		Lend: g.room.Lend, Superseded: g.superseded, Restored: g.restored, Alone: g.alone, Counters: g.counters})
 	if err != nil {
 		log.Printf("event=handover_off error=%q", err)
 		return
@@ -122,6 +123,7 @@
 		log.Printf("event=passing_off error=%q", err)
 		return
 	}
+	r.Lend = g.room.Lend
 	g.actors.Go(func() error {
 		return r.Run(g.work, func(c pass.Conn) bool {
 			f, ok := g.lists[c.Front]
@@ -196,7 +198,7 @@
 			k.Learned[name] = l
 		}
 	}
-	text, err := json.Marshal(k)
+	text, err := k.within(talk.MostBlob)
 	if err != nil {
 		log.Printf("event=handover_doubt error=%q", err)
 		return nil
@@ -204,6 +206,33 @@
 	return text
 }
 
+// within writes as much as fits: without the round trips of single hosts where it is too long, then without what was learned of
+// hosts, which is learned anew soon. What stays in any case are the lists and the starts: without them requests wait, and cold
+// hosts get too much.
+func (k knowledge) within(most int) ([]byte, error) {
+	text, err := json.Marshal(k)
+	for _, less := range []func(*rules.Learned){
+		func(l *rules.Learned) {
+			for id, m := range l.Members {
+				m.Window = nil
+				l.Members[id] = m
+			}
+		},
+		func(l *rules.Learned) { l.Members = nil },
+	} {
+		if err != nil || len(text) <= most {
+			break
+		}
+		log.Printf("event=handover_knowledge_cut bytes=%d most=%d", len(text), most)
+		for name, l := range k.Learned {
+			less(&l)
+			k.Learned[name] = l
+		}
+		text, err = json.Marshal(k)
+	}
+	return text, err
+}
+
 // hasNewer shares the gateway's limits with a newer process, as long as that lives.
 func (g *gateway) hasNewer(lives bool) {
 	log.Printf("event=newer_process lives=%t", lives)
--- /dev/null
+++ b/internal/clients/export_test.go
@@ -0,0 +1,8 @@
+package clients
+
+// Held is how many places clients hold.
+func (r *Room) Held() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.sessions)
+}
--- /dev/null
+++ b/internal/clients/lend_test.go
@@ -0,0 +1,64 @@
+package clients_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cranegate/internal/clients"
+	"cranegate/internal/standin"
+)
+
+// TestLentPlaces lends half of the places of a full room, one after the other: idle clients give way, never is more held and
+// lent together than there are, and past the half the answer says what can be done. What is given back takes clients again.
+func TestLentPlaces(t *testing.T) {
+	const places = 8
+	inBubble(t, func() error {
+		rig := newRigFor(places, 1, false, &standin.Host{Primary: true})
+		defer rig.close()
+		for i := range places {
+			c, err := standin.DialPostgres(rig.connect(), "")
+			if err != nil {
+				return fmt.Errorf("client %d: %w", i, err)
+			}
+			defer c.Close()
+		}
+		if free := rig.room.Free(); free != 0 {
+			return fmt.Errorf("%v of the room is free", free)
+		}
+		var back []func()
+		for i := range places / 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			giveBack, err := rig.room.Lend(ctx)
+			cancel()
+			if err != nil {
+				return fmt.Errorf("place %d: %w", i, err)
+			}
+			if over := rig.room.Held() + len(back) + 1; over > places {
+				return fmt.Errorf("%d of %d places are held", over, places)
+			}
+			back = append(back, giveBack)
+		}
+		var many clients.TooManyLent
+		if _, err := rig.room.Lend(context.Background()); !errors.As(err, &many) || many.Lent != places/2 || !strings.Contains(err.Error(), "limits.sockets") {
+			return fmt.Errorf("past the half: %v", err)
+		}
+		for _, f := range back {
+			f()
+		}
+		for i := range places / 2 {
+			c, err := standin.DialPostgres(rig.connect(), "")
+			if err != nil {
+				return fmt.Errorf("client %d after: %w", i, err)
+			}
+			defer c.Close()
+		}
+		if held := rig.room.Held(); held != places {
+			return fmt.Errorf("%d of %d places are held in the end", held, places)
+		}
+		return nil
+	})
+}
--- a/internal/clients/room.go
+++ b/internal/clients/room.go
@@ -21,12 +21,15 @@
 // Room is the places of all fronts' clients, a descriptor for each. Where none is left, a client that has nothing
 // open is let go for the next: silent and forgotten connections must not keep others out.
 type Room struct {
-	size  int
+	whole int // places in all, a descriptor each
 	lobby lobby
 
 	plan atomic.Pointer[away.Plan] // nil: clients are welcome
 
 	mu       sync.Mutex
+	size     int           // places for clients, where none is lent
+	lent     int           // places that something else holds, or waits for
+	returned chan struct{} // closed as a place is given back; nil while nothing waits to be lent one
 	freed    chan struct{} // closed as a place is given back; nil while nobody waits for that
 	waiting  int           // newcomers that do
 	longest  time.Duration // any client's deadline,
@@ -38,7 +41,7 @@
 
 // NewRoom returns a room with a number of places.
 func NewRoom(size int) *Room {
-	return &Room{size: size, lobby: make(lobby, Lobby(size)), sessions: map[*Session]bool{}}
+	return &Room{whole: size, size: size, lobby: make(lobby, Lobby(size)), sessions: map[*Session]bool{}}
 }
 
 // lobby holds one for each client in it.
@@ -81,14 +84,14 @@
 func (r *Room) Free() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(0, 1-float64(len(r.sessions))/float64(r.size))
+	return max(0, 1-float64(len(r.sessions))/float64(r.places()))
 }
 
 // take gives a session a place if there is one.
 func (r *Room) take(x *Session) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.sessions) >= r.size {
+	if len(r.sessions) >= r.places() {
 		return false
 	}
 	r.sessions[x] = true
@@ -132,7 +135,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sessions[x] = true
-	over, first := len(r.sessions)-r.size, (*Session)(nil)
+	over, first := len(r.sessions)-r.places(), (*Session)(nil)
 	for s := range r.sessions {
 		if s.leaving.Load() {
 			over--
@@ -150,7 +153,7 @@
 func (r *Room) try(x *Session, now time.Time) (entered bool, due time.Time, freed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.sessions) < r.size {
+	if len(r.sessions) < r.places() {
 		r.sessions[x] = true
 		return true, now, nil
 	}
@@ -204,7 +207,7 @@
 				first = s
 			}
 		}
-		if idle <= r.size/2 || now.Sub(first.resting) < idleFor {
+		if idle <= r.places()/2 || now.Sub(first.resting) < idleFor {
 			return
 		}
 		first.ask()
@@ -222,6 +225,7 @@
 		close(r.freed)
 		r.freed = nil
 	}
+	r.back()
 	r.mu.Unlock()
 }
 
@@ -238,7 +242,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x.resting, x.silent = time.Now(), !x.proves.IsZero()
-	if !x.silent {
+	if r.lent > 0 && r.owes() > 0 { // a place was lent that clients hold still
+		x.ask()
+	} else if !x.silent {
 		r.thin(x.resting)
 	}
 }
--- a/internal/handover/errors.go
+++ b/internal/handover/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"strings"
+
+	"cranegate/internal/handover/talk"
 )
 
 var (
@@ -25,8 +27,10 @@
 	// ErrClosed says that Close was called.
 	ErrClosed = errors.New("the handover of this process is closed; call the process that serves now")
 	// ErrCrowd says that too many processes stand in the folder.
-	ErrCrowd = errors.New("more than 16 processes of this gateway live in the folder ($TMPDIR): end those that are left over, " +
-		"and give each gateway a folder of its own")
+	ErrCrowd = fmt.Errorf("more than %d other processes of this gateway live in the folder ($TMPDIR): end those that are left over, "+
+		"and give each gateway a folder of its own", mostPeers)
+	// ErrLinks says that no more connections of other processes are taken.
+	ErrLinks = fmt.Errorf("%d connections of other processes of this gateway are open: end those that are left over", mostLinks)
 	// ErrSilent says that an older process lives and has not answered at the start.
 	ErrSilent = errors.New("an older process lives and did not answer: every ban that got its yes is known from the state file, " +
 		"what the older one knows of hosts is not; nothing needs to be done, or end it if it hangs")
@@ -57,5 +61,13 @@
 
 func (e *PeerError) Unwrap() error { return e.Cause }
 
+// BlobTooLarge says that what a newer process asked for is not told: it learns the list and the hosts anew.
+type BlobTooLarge struct{ Bytes int }
+
+func (e BlobTooLarge) Error() string {
+	return fmt.Sprintf("what this process knows takes %d bytes, %d are the most that a newer process is told; it starts without it, and "+
+		"learns anew; nothing needs to be done", e.Bytes, talk.MostBlob)
+}
+
 // because gives a sentence for operators its cause; both are found by errors.Is and errors.As.
 func because(what, cause error) error { return fmt.Errorf("%w: %w", what, cause) }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,8 +12,10 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"sync"
+	"time"
 
 	"cranegate/internal/handover/place"
 	"cranegate/internal/handover/record"
@@ -40,7 +42,9 @@
 	applyErr  error
 	unwritten bool // regs hold what the file may lack
 	peers     map[place.Name]*peer
-	links     int // that others hold to this process
+	links     int       // connections to peers, or to who may be one
+	own       int       // of them, those that nothing was lent for
+	refusedAt time.Time // when the log last told of one that was refused
 	serving   bool
 	opening   bool // older peers are asked for their blob
 	hadOlder  bool // Alone is still to be called
@@ -152,6 +156,16 @@
 	h.opt.Counters.Add("handover_doubts", 1)
 }
 
+// refuse counts a connection or a process that is not taken, and logs why, once a second at most: whoever is refused tries
+// again.
+func (h *Handover) refuse(why error) {
+	h.opt.Counters.Add("handover_refused", 1)
+	if now := time.Now(); now.Sub(h.refusedAt) >= time.Second {
+		h.refusedAt = now
+		log.Printf("event=handover_refused error=%q", why)
+	}
+}
+
 // adopt merges registers into those of this process, and tells the others where that brings news.
 func (h *Handover) adopt(regs state.Registers) (news bool, err error) {
 	merged, err := h.regs.Merge(regs)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -14,6 +14,7 @@
 	"cranegate/internal/handover/place"
 	"cranegate/internal/handover/record"
 	"cranegate/internal/handover/state"
+	"cranegate/internal/handover/talk"
 	"cranegate/internal/stats"
 )
 
@@ -163,7 +164,7 @@
 
 // TestBlob: one at the bound arrives, one over it does not, and both leave the start in time.
 func TestBlob(t *testing.T) {
-	for _, c := range []struct{ size, want int }{{512 << 10, 512 << 10}, {512<<10 + 1, 0}} {
+	for _, c := range []struct{ size, want int }{{talk.MostBlob, talk.MostBlob}, {talk.MostBlob + 1, 0}} {
 		dir := t.TempDir()
 		open(t, Options{Dir: dir, Export: func() []byte { return make([]byte, c.size) }, Counters: &stats.Counters{}})
 		if h := open(t, Options{Dir: dir}); len(h.Inherited()) != c.want || len(h.Doubts()) != 0 {
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"time"
 
@@ -130,6 +131,7 @@
 	blob := h.opt.Export()
 	if len(blob) > talk.MostBlob {
 		h.opt.Counters.Add("handover_blobs_too_large", 1)
+		log.Printf("event=handover_blob_too_large error=%q", BlobTooLarge{len(blob)})
 		return nil
 	}
 	return blob
--- a/internal/handover/options.go
+++ b/internal/handover/options.go
@@ -20,8 +20,10 @@
 	againFirst  = 20 * time.Millisecond  // which begin with this
 	applyEvery  = 100 * time.Millisecond // between tries to apply what could not be applied
 	persistMost = time.Second            // between tries to write the file
-	mostPeers   = 16                     // processes in one folder; more than two are rare
-	mostLinks   = 64                     // connections that others may hold to this process
+	mostPeers   = 1024                   // processes in one folder beside this one; more than two are rare
+	mostLinks   = 2 * mostPeers          // connections to them: both may connect at once
+	ownLinks    = 2                      // of which so many are counted on, and need nothing from Options.Lend
+	lendFor     = 500 * time.Millisecond // a connection waits for what Options.Lend gives
 	triesNarrow = 4                      // of a ban that a call elsewhere overrules at once,
 	triesWiden  = 2                      // and of an attach: of two calls that fight the ban wins
 )
@@ -30,11 +32,15 @@
 type Options struct {
 	// Dir is the private folder that the gateway's processes share. It must exist and be writable.
 	Dir string
+	// Lend gives a descriptor for a connection to another process past the two that are counted on, or an error that says
+	// what an operator can do; nil: as many as the system gives. It is called from many goroutines, and what it returns
+	// once the connection has ended.
+	Lend func(context.Context) (giveBack func(), err error)
 	// Apply makes the program hold a state and returns once the module does. It is called one at a time, with ever
 	// newer state, also for this process's own changes, and once at the start of Run. The program sends nothing to
 	// hosts before that first call has returned. After an error it is called again, every 100 ms.
 	Apply func(context.Context, state.State) error
-	// Export gives what a newer process should know, at most 512 KiB, and more is left out; nil: nothing. It is called
+	// Export gives what a newer process should know, at most talk.MostBlob, and none of it arrives if it is more; nil: nothing. It is called
 	// one at a time, and has to return within 0.5 s, or the newer process starts without it.
 	Export func() []byte
 	// Newer says that a newer process has shown itself, or that none lives any more: the gateway's limits are shared
--- a/internal/handover/pass/pass.go
+++ b/internal/handover/pass/pass.go
@@ -6,9 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,7 +22,9 @@
 	longest  = 64                       // bytes of a front's name
 	version  = 1
 	passFor  = 300 * time.Millisecond // for a connection to be handed over
-	mostFrom = 4                      // processes that hand over at once; two at a time are rare
+	mostFrom = 1024                   // processes that hand over at once; two at a time are rare,
+	ownFrom  = 1                      // and so many need nothing from Receiver.Lend
+	lendFor  = passFor / 2            // a process waits for what Receiver.Lend gives
 )
 
 // What is known of a connection, as bits.
@@ -36,6 +40,14 @@
 	ErrKept = errors.New("the connection could not be handed over")
 )
 
+// Crowd says that too many processes hand over at once.
+type Crowd struct{ Processes int }
+
+func (e Crowd) Error() string {
+	return fmt.Sprintf("%d processes of this gateway hand their clients over already; those of further ones have to connect anew; "+
+		"end processes that are left over, and give each gateway a folder of its own", e.Processes)
+}
+
 // Conn is a connection that passes, with what is known of it.
 type Conn struct {
 	net.Conn
@@ -48,7 +60,13 @@
 func at(dir *os.File, name string) string { return fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), name) }
 
 // Receiver takes connections.
-type Receiver struct{ l *net.UnixListener }
+type Receiver struct {
+	// Lend gives a descriptor for a process that hands over beside another, or an error that says what an operator can do;
+	// nil: as many as the system gives.
+	Lend func(context.Context) (giveBack func(), err error)
+
+	l *net.UnixListener
+}
 
 // Listen makes this process the one that takes connections in a folder, in place of any before it.
 func Listen(folder string) (*Receiver, error) {
@@ -68,14 +86,14 @@
 		l.Close()
 		return nil, err
 	}
-	return &Receiver{l}, nil
+	return &Receiver{l: l}, nil
 }
 
 // Run calls take for each connection that comes, until the context ends. What take turns down with false is closed: the
 // process that gave it holds it no more.
 func (r *Receiver) Run(ctx context.Context, take func(Conn) bool) error {
 	defer context.AfterFunc(ctx, func() { r.l.Close() })()
-	places := make(chan struct{}, mostFrom)
+	var from atomic.Int32
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
@@ -86,9 +104,14 @@
 			time.Sleep(passFor / 10)
 			continue
 		}
-		places <- struct{}{}
+		giveBack, err := r.lend(ctx, int(from.Add(1)))
+		if err != nil { // what was sent before this is taken; from here on the other end learns that nothing more is
+			log.Printf("event=passing_refused error=%q", err)
+			c.CloseRead()
+		}
 		group.Go(func() {
-			defer func() { <-places }()
+			defer from.Add(-1)
+			defer giveBack()
 			defer context.AfterFunc(ctx, func() { c.Close() })()
 			defer c.Close()
 			receive(c, take)
@@ -96,6 +119,23 @@
 	}
 }
 
+// lend gives the n-th of those that hand over now its descriptor.
+func (r *Receiver) lend(ctx context.Context, n int) (giveBack func(), err error) {
+	none := func() {}
+	switch {
+	case n > mostFrom:
+		return none, Crowd{mostFrom}
+	case n <= ownFrom || r.Lend == nil:
+		return none, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, lendFor)
+	defer cancel()
+	if giveBack, err = r.Lend(ctx); err != nil {
+		return none, err
+	}
+	return giveBack, nil
+}
+
 // receive takes connections from one process until that ends.
 func receive(from *net.UnixConn, take func(Conn) bool) {
 	b, rights := make([]byte, 2+longest), make([]byte, unix.CmsgSpace(4))
--- a/internal/handover/peers.go
+++ b/internal/handover/peers.go
@@ -33,6 +33,7 @@
 		return nil, ErrClosed
 	}
 	if len(h.peers) >= mostPeers {
+		h.refuse(ErrCrowd)
 		return nil, ErrCrowd
 	}
 	p := &peer{name: n, ask: h.opening && n.Before(h.name), links: map[*link]struct{}{}}
@@ -57,17 +58,11 @@
 			}
 			continue
 		}
-		ctx, cancel := context.WithTimeout(h.life, dialFor)
-		c, err := h.folder.Dial(ctx, p.name)
-		cancel()
-		if errors.Is(err, place.ErrGone) {
+		began := time.Now()
+		if err := h.reach(p); errors.Is(err, place.ErrGone) {
 			h.gone(p)
 			return
 		}
-		began := time.Now()
-		if err == nil {
-			h.call(p, c)
-		}
 		if time.Since(began) > againMost {
 			wait = againFirst
 		}
@@ -78,6 +73,58 @@
 	}
 }
 
+// reach connects to a peer, and speaks with it until the connection ends.
+func (h *Handover) reach(p *peer) error {
+	leave, err := h.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(h.life, dialFor)
+	c, err := h.folder.Dial(ctx, p.name)
+	cancel()
+	if err == nil {
+		h.call(p, c)
+	}
+	return err
+}
+
+// enter gives a connection its descriptor: one of the two that are counted on, or one that is lent. What it returns gives
+// that back. Without one it says why, to the log too.
+func (h *Handover) enter() (leave func(), err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.links >= mostLinks {
+		h.refuse(ErrLinks)
+		return nil, ErrLinks
+	}
+	h.links++
+	own, giveBack := h.own < ownLinks, func() {}
+	if own {
+		h.own++
+	} else if h.opt.Lend != nil {
+		h.mu.Unlock()
+		ctx, cancel := context.WithTimeout(h.life, lendFor)
+		giveBack, err = h.opt.Lend(ctx)
+		cancel()
+		h.mu.Lock()
+		if err != nil {
+			h.links--
+			h.refuse(err)
+			return nil, err
+		}
+	}
+	return func() {
+		h.mu.Lock()
+		h.links--
+		if own {
+			h.own--
+		}
+		h.mu.Unlock()
+		giveBack()
+	}, nil
+}
+
 // gone forgets a peer that is dead, and has the file read for what it wrote last.
 func (h *Handover) gone(p *peer) {
 	h.mu.Lock()
@@ -107,21 +154,14 @@
 			}
 			continue
 		}
-		h.mu.Lock()
-		full := h.links >= mostLinks
-		if !full {
-			h.links++
-		}
-		h.mu.Unlock()
-		if full {
+		leave, err := h.enter() // others wait in the socket's queue meanwhile
+		if err != nil {
 			c.Close() // it tries again
 			continue
 		}
 		h.work.Go(func() {
+			defer leave()
 			h.answer(c)
-			h.mu.Lock()
-			h.links--
-			h.mu.Unlock()
 		})
 	}
 }
--- a/internal/handover/talk/talk.go
+++ b/internal/handover/talk/talk.go
@@ -14,8 +14,8 @@
 
 const (
 	Version  = 1
-	MostBlob = 512 << 10 // bytes of a Blob
-	most     = 1 << 20   // bytes of a frame
+	most     = 1 << 20      // bytes of a frame, which processes of all versions take
+	MostBlob = most - 16384 // bytes of a Blob: what the rest of its frame leaves
 )
 
 // ErrFrame says that a peer sent something that is no message.
