Tell staff which wait inside a call ran out, not that the whole call did

Cause: ServeHTTP took every error that wraps context.DeadlineExceeded for the end of the call's 800 ms. A wait of 200 ms for the lock on the state file ended in "not done within 800ms" some 0.2 s after the call began, in place of ErrNotPersisted's sentence with what to do. This hid the cause of 503s that optest.TestRestored and TestLameduckOfDeadHeir met now and then on a busy machine.

Change: "not done within 800ms" is said where the call's own time has passed, or of a bare DeadlineExceeded, which says nothing to staff (TestCalls, unchanged). The status is 503 as before.

Measured: TestShorterWait fails without the change ("not done within 800ms" at once); internal/admin passes with -race.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -232,3 +232,14 @@
 		t.Error(r, err)
 	}
 }
+
+// TestShorterWait has an action fail in its time since a wait inside it was shorter: the caller is told that wait's own
+// words, which say what can be done, and not that the call's whole time has passed.
+func TestShorterWait(t *testing.T) {
+	inside := fmt.Errorf("the lock is held: %w", context.DeadlineExceeded)
+	address := staff(t, &desk{err: inside})
+	r, text, err := call("POST", "http://"+address+"/_lameduck/on", "")
+	if err != nil || r.StatusCode != 503 || text != inside.Error()+"\n" {
+		t.Errorf("%v, %q, %v; want 503 with %q", r, text, err, inside)
+	}
+}
--- a/internal/admin/answer.go
+++ b/internal/admin/answer.go
@@ -137,7 +137,8 @@
 		text, release, err = x.run(ctx, id)
 		defer release()
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	// A shorter wait inside may have run out before the call's time: its own words say which, and what can be done.
+	if err == context.DeadlineExceeded || ctx.Err() != nil && errors.Is(err, context.DeadlineExceeded) {
 		err = ErrNotInTime
 	}
 	if r.Method == http.MethodPost {
