Leave the write of a change to the process that was called, not to its hearer

Cause: a process that hears of a change from a peer wrote the state file at once (link.take set unwritten). What widens is told first and written last, so the hearer was ahead: it held the lock through its fsync, and the call behind it gives up the lock after lockFor (200 ms) and answers 503. So too where a peer had died and nothing was ever said: File.Update wrote a first file that says nothing, with an fsync, beside the next call. With two writers of 200 MB beside the tests, fsyncs in the lock took 100 to 317 ms; with load on the CPU alone (six copies of both tests on one core, 48 runs of each) no test failed. apply, core.Hand and g.ducks were read and hold nothing up for 0.2 s.

Change: news of a peer that lives is written by its hearer once the peer is gone, which is at once as before, or when none has come for 1 s (setFor), so a peer that hangs before its write loses nothing. An empty state is not written where no file is. No bound changes.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -39,6 +39,7 @@
 	running   bool
 	applyErr  error
 	unwritten bool // regs hold what the file may lack
+	overheard bool // they hold news of a peer that lives, which writes it itself
 	peers     map[place.Name]*peer
 	links     int // that others hold to this process
 	serving   bool
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -198,3 +198,28 @@
 		t.Fatal(err, time.Since(began))
 	}
 }
+
+// TestHearerLeavesTheWriteToTheCaller holds a call up before its write. The process that was told of the change must not
+// write it meanwhile, as it would keep the lock from the call, and must in the end, as the call may never come to it.
+func TestHearerLeavesTheWriteToTheCaller(t *testing.T) {
+	dir := t.TempDir()
+	open(t, Options{Dir: dir})
+	caller := open(t, Options{Dir: dir})
+	began := time.Now()
+	written := time.Duration(0) // after the call's beginning; 0: never
+	atStep = func(step string) {
+		for step == state.Persist.String() && written == 0 && time.Since(began) < 20*time.Second {
+			if _, err := os.Stat(filepath.Join(dir, record.Name)); err == nil {
+				written = time.Since(began)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	defer func() { atStep = nil }()
+	if err := caller.Set(context.Background(), state.Change{Lameduck: false}); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		t.Error(err)
+	}
+	if written < setFor {
+		t.Errorf("the hearer wrote %v after the call began (0: never), want it to wait for %v", written, setFor)
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -175,7 +175,7 @@
 			h.doubt(err)
 			return err
 		}
-		h.unwritten = h.unwritten || news
+		h.overheard = h.overheard || news
 		if m.Kind == talk.Holding {
 			if p.holds, err = p.holds.Merge(regs); err != nil { // of two connections one may be behind
 				p.holds = regs
--- a/internal/handover/record/record.go
+++ b/internal/handover/record/record.go
@@ -107,7 +107,7 @@
 		return state.Registers{}, mergeErr
 	}
 	merged = merged.Trim()
-	if bad == nil && sequence > 0 && merged.Equal(was) {
+	if bad == nil && merged.Equal(was) { // also where there is no file yet, and nothing to say
 		return merged, nil
 	}
 	if err := f.replace(merged, sequence+1); err != nil {
--- a/internal/handover/run.go
+++ b/internal/handover/run.go
@@ -94,13 +94,19 @@
 	}
 }
 
-// writing writes what came from others, or could not be written before, and takes what a dead process wrote last.
+// writing writes what could not be written before, and takes what a dead process wrote last. What came from a peer that
+// lives is its own to write: beside it, on a slow disk, this process would hold the lock for as long as the peer's call waits
+// for it. It is written here once the peer is gone, or where no news has come for as long as a call may take.
 func (h *Handover) writing(ctx context.Context) {
+	var late <-chan time.Time // when what was overheard is written; nil: nothing was
 	for wait := againFirst; ctx.Err() == nil; {
 		h.mu.Lock()
-		due, changed := h.unwritten, h.changed
-		h.unwritten = false
+		due, overheard, changed := h.unwritten, h.overheard, h.changed
+		h.unwritten, h.overheard = false, false
 		h.mu.Unlock()
+		if overheard {
+			late = time.After(setFor)
+		}
 		if due {
 			if h.persist(ctx, state.Registers{}) != nil { // which sets unwritten again
 				h.opt.Counters.Add("handover_writes_failed", 1)
@@ -115,6 +121,11 @@
 		}
 		select {
 		case <-changed:
+		case <-late:
+			late = nil
+			h.mu.Lock()
+			h.unwritten = true
+			h.mu.Unlock()
 		case <-ctx.Done():
 		}
 	}
