--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -41,6 +41,7 @@
 	running   bool
 	applyErr  error
 	unwritten bool // regs hold what the file may lack
+	overheard bool // they hold news of a peer that lives, which writes it itself
 	peers     map[place.Name]*peer
 	links     int       // connections to peers, or to who may be one
 	own       int       // of them, those that nothing was lent for
