--- a/internal/optest/process_test.go
+++ b/internal/optest/process_test.go
@@ -59,6 +59,9 @@
 	p.cmd.ExtraFiles = []*os.File{nil, nil, f}
 	p.cmd.Env = append(p.cmd.Env, "PROXY_CONFIG="+r.path, "PROXY_ADMIN="+p.admin, "PROXY_PASSED_SOCKET=5")
 	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
+	if r.logs != nil {
+		p.cmd.Stdout, p.cmd.Stderr = r.logs, r.logs
+	}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		r.t.Fatal(err)
--- a/internal/optest/rig_test.go
+++ b/internal/optest/rig_test.go
@@ -99,7 +99,8 @@
 	passed    *net.TCPListener
 	path, dir string
 	procs     []*process
-	attempts  int // of a request that may be repeated, at most
+	attempts  int      // of a request that may be repeated, at most
+	logs      *os.File // where the next processes write; nil: they are kept
 }
 
 // ran is how often a request has run, at all hosts.
