Log with log/slog: events as text lines with levels, times in UTC

All lines but the core's and the example's go through it.

Ruled out as a change of meaning: tests that look for event=NAME in the program's own output stay as they are; those that set the log's writer set a logger now.

Measured: the tests of logging, peers, handover, admin, core, list and cranelab pass.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"os/signal"
@@ -179,11 +179,11 @@
 	if stop.Err() == nil { // else a front may not have begun, and what another process left to this one would end with it
 		g.status.Set(balancers.Ready)
 		g.passOn()
-		log.Printf("event=serving fronts=%d memory_mb=%d sockets=%d clients=%d servers=%d", len(fleets), limits.MemoryMB, d.limit, d.clients, d.servers)
+		slog.Info("serving", "fronts", len(fleets), "memory_mb", limits.MemoryMB, "sockets", d.limit, "clients", d.clients, "servers", d.servers)
 	}
 	<-stop.Done()
 	g.status.Set(balancers.Draining)
-	log.Printf("event=stopping")
+	slog.Info("stopping")
 	if g.peers != nil {
 		g.peers.Drain()
 	}
@@ -198,7 +198,7 @@
 	case err := <-ended:
 		return err
 	case <-time.After(exitLast):
-		log.Printf("event=stopped_with_clients")
+		slog.Warn("stopped_with_clients")
 		return nil
 	}
 }
@@ -218,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	log.Printf("event=listening front=fleet address=%s name=%s sealed=%t", p.Addr(), o.Fleet.Name, len(o.Fleet.Keys) > 0)
+	slog.Info("listening", "address", p.Addr(), "name", o.Fleet.Name, "sealed", len(o.Fleet.Keys) > 0)
 	g.peers = p
 	g.actors.Go(func() error { return p.Run(g.work) })
 	return nil
@@ -237,11 +237,11 @@
 		p, o, err := reread()
 		if err != nil {
 			g.counters.Add("reloads_failed", 1)
-			log.Printf("event=reload_failed error=%q", err)
+			slog.Warn("reload_failed", "error", err)
 			continue
 		}
 		g.counters.Add("reloads", 1)
-		log.Printf("event=reloaded")
+		slog.Info("reloaded")
 		for _, f := range g.lists {
 			if o != nil && o.Zones != nil {
 				f.core.Tune(*o.Zones.Options(f.zone))
@@ -249,7 +249,7 @@
 		}
 		if g.peers != nil && o != nil && o.Fleet != nil {
 			if err := g.peers.Reload(g.work, o.Fleet.Join, o.Fleet.Keys); err != nil {
-				log.Printf("event=fleet_reload_failed error=%q", err)
+				slog.Warn("fleet_reload_failed", "error", err)
 			}
 		}
 		if f, ok := g.lists["postgres"]; ok && p != nil && p.Discovery != "" {
@@ -334,7 +334,7 @@
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	log.Printf("event=listening front=%s address=%s members=%d", f.name, l.Addr(), len(f.known.Targets))
+	slog.Info("listening", "front", f.name, "address", l.Addr(), "members", len(f.known.Targets))
 	g.fronts.Go(func() error { return x.front.Run(g.stop, l) })
 	return nil
 }
--- a/cmd/cranegate/handover.go
+++ b/cmd/cranegate/handover.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"log"
+	"log/slog"
 	"net"
 	"runtime/debug"
 	"sync"
@@ -53,26 +53,26 @@
 // program serves all the same, and says so.
 func (g *gateway) openHandover(dir string) {
 	if dir == "" {
-		log.Printf("event=handover_off detail=%q", "TMPDIR is not set: hosts taken out by hand are not known to a process that follows")
+		slog.Warn("handover_off", "detail", "TMPDIR is not set: hosts taken out by hand are not known to a process that follows")
 		return
 	}
 	g.applied = make(chan struct{})
 	h, err := handover.Open(g.work, handover.Options{Dir: dir, Apply: g.apply, Export: g.export, Newer: g.hasNewer,
 		Lend: g.room.Lend, Superseded: g.superseded, Restored: g.restored, Alone: g.alone, Counters: g.counters})
 	if err != nil {
-		log.Printf("event=handover_off error=%q", err)
+		slog.Warn("handover_off", "error", err)
 		return
 	}
 	for _, err := range h.Doubts() {
-		log.Printf("event=handover_doubt error=%q", err)
+		slog.Warn("handover_doubt", "error", err)
 	}
 	if text := h.Inherited(); text != nil {
 		if err := json.Unmarshal(text, &g.inherited); err != nil {
-			log.Printf("event=handover_doubt error=%q", err)
+			slog.Warn("handover_doubt", "error", err)
 		}
 	}
 	g.hand, g.older, g.folder = h, h.Older(), dir
-	log.Printf("event=handover older=%t out=%d lameduck=%t", g.older, len(h.State().Out), h.State().Lameduck)
+	slog.Info("handover", "older", g.older, "out", len(h.State().Out), "lameduck", h.State().Lameduck)
 }
 
 // closeHandover tells the others that this process is gone.
@@ -92,7 +92,7 @@
 	defer cancel()
 	for name, f := range g.lists {
 		if err := f.core.Started(ctx, g.inherited.Starts[name]); err != nil {
-			log.Printf("event=handover_doubt error=%q", err)
+			slog.Warn("handover_doubt", "error", err)
 		}
 	}
 	g.actors.Go(func() error { return g.hand.Run(g.work) })
@@ -120,7 +120,7 @@
 func (g *gateway) receive() {
 	r, err := pass.Listen(g.folder)
 	if err != nil {
-		log.Printf("event=passing_off error=%q", err)
+		slog.Warn("passing_off", "error", err)
 		return
 	}
 	r.Lend = g.room.Lend
@@ -200,7 +200,7 @@
 	}
 	text, err := k.within(talk.MostBlob)
 	if err != nil {
-		log.Printf("event=handover_doubt error=%q", err)
+		slog.Warn("handover_doubt", "error", err)
 		return nil
 	}
 	return text
@@ -223,7 +223,7 @@
 		if err != nil || len(text) <= most {
 			break
 		}
-		log.Printf("event=handover_knowledge_cut bytes=%d most=%d", len(text), most)
+		slog.Warn("handover_knowledge_cut", "bytes", len(text), "most", most)
 		for name, l := range k.Learned {
 			less(&l)
 			k.Learned[name] = l
@@ -235,7 +235,7 @@
 
 // hasNewer shares the gateway's limits with a newer process, as long as that lives.
 func (g *gateway) hasNewer(lives bool) {
-	log.Printf("event=newer_process lives=%t", lives)
+	slog.Info("newer_process", "lives", lives)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.newer = lives
@@ -244,13 +244,13 @@
 
 // superseded leaves the clients that come from now on to a newer process that serves.
 func (g *gateway) superseded() {
-	log.Printf("event=superseded")
+	slog.Info("superseded")
 	for _, f := range g.lists {
 		f.front.Retire()
 	}
 	sender, err := pass.Dial(g.folder)
 	if err != nil {
-		log.Printf("event=passing_off error=%q", err)
+		slog.Warn("passing_off", "error", err)
 	}
 	g.mu.Lock()
 	g.sender = sender
@@ -265,7 +265,7 @@
 // restored takes clients again, as the newer process that took them is gone. Those wait in the queue of the socket, which is
 // nobody's else then.
 func (g *gateway) restored() {
-	log.Printf("event=restored")
+	slog.Info("restored")
 	g.mu.Lock()
 	sender := g.sender
 	g.passed, g.sender = false, nil
@@ -280,7 +280,7 @@
 	g.ducks.Unlock()
 	for _, f := range g.lists {
 		if err := f.front.Resume(); err != nil {
-			log.Printf("event=listening_failed error=%q", err)
+			slog.Warn("listening_failed", "error", err)
 		}
 	}
 }
@@ -297,7 +297,7 @@
 
 // alone takes the whole of the limits again.
 func (g *gateway) alone() {
-	log.Printf("event=older_process_gone")
+	slog.Info("older_process_gone")
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.older = false
--- a/cmd/cranegate/main.go
+++ b/cmd/cranegate/main.go
@@ -9,7 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"os"
 	"os/signal"
 	"strings"
@@ -19,6 +19,7 @@
 	"github.com/alecthomas/kong"
 
 	"cranegate/internal/config"
+	"cranegate/internal/logging"
 )
 
 // cli is the command line.
@@ -33,7 +34,7 @@
 }
 
 func main() {
-	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
+	logging.Use(logging.New(os.Stderr, logging.Level(os.Getenv(logging.LevelVariable))))
 	if len(os.Args) == 1 { // as the platform starts it, on part of a core: without building a parser
 		runCmd{Operator: os.Getenv("CRANEGATE_OPERATOR")}.Run()
 		return
@@ -68,7 +69,7 @@
 		})
 	}
 	if err != nil {
-		log.Printf("event=ended error=%q", err)
+		slog.Error("ended", "error", err)
 		os.Exit(1)
 	}
 	return nil
--- a/cmd/cranegate/second.go
+++ b/cmd/cranegate/second.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -44,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("listening for %s: %w", name, err)
 	}
-	log.Printf("event=listening front=%s address=%s", name, l.Addr())
+	slog.Info("listening", "front", name, "address", l.Addr())
 	s := admin.New((*control)(g), &g.turns, map[string]admin.Page{"/counters": g.shownCounters, "/members": g.shownMembers}, most)
 	g.actors.Go(func() error { return s.Run(g.work, l) })
 	return nil
@@ -89,7 +89,7 @@
 		if err != nil {
 			return fmt.Errorf("listening for %s: %w", x.name, err)
 		}
-		log.Printf("event=listening front=%s address=%s", x.name, l.Addr())
+		slog.Info("listening", "front", x.name, "address", l.Addr())
 		g.actors.Go(func() error { return x.serve(l) })
 	}
 	return nil
--- a/cmd/cranelab/logs.go
+++ b/cmd/cranelab/logs.go
@@ -89,12 +89,11 @@
 // parseCounters reads a line of counters, whatever stands before its date.
 func parseCounters(line string) (at time.Time, counters map[string]int64, ok bool) {
 	head, tail, found := strings.Cut(line, " event=counters")
-	words := strings.Fields(head)
-	if !found || len(words) < 2 {
+	if !found {
 		return at, nil, false
 	}
-	at, err := time.Parse("2006/01/02 15:04:05.000000", strings.Join(words[len(words)-2:], " "))
-	if err != nil {
+	at, ok = parseTime(strings.Fields(head))
+	if !ok {
 		return at, nil, false
 	}
 	counters = map[string]int64{}
@@ -107,6 +106,19 @@
 	return at, counters, true
 }
 
+// parseTime reads the time that stands before an event: time=T level=L, or a date and a time as older programs wrote them.
+func parseTime(words []string) (at time.Time, ok bool) {
+	if len(words) < 2 {
+		return at, false
+	}
+	if text, structured := strings.CutPrefix(words[len(words)-2], "time="); structured {
+		at, err := time.Parse(time.RFC3339Nano, text)
+		return at, err == nil
+	}
+	at, err := time.Parse("2006/01/02 15:04:05.000000", strings.Join(words[len(words)-2:], " "))
+	return at, err == nil
+}
+
 // print writes the table. The first second holds all that was counted before it.
 func (t *totals) print(out io.Writer, columns []string) error {
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
--- a/cmd/cranelab/logs_test.go
+++ b/cmd/cranelab/logs_test.go
@@ -12,7 +12,7 @@
 	dir := t.TempDir()
 	for name, text := range map[string]string{
 		"n0.log": "1.0 2026/12/01 10:00:01.000001 event=counters attempts=10 list_a=1 list_b=2 requests=7\n" +
-			"2.0 2026/12/01 10:00:02.100000 event=counters attempts=16 list_a=1 list_b=4 requests=9\n" +
+			"2.0 time=2026-12-01T10:00:02.100000Z level=INFO event=counters attempts=16 list_a=1 list_b=4 requests=9\n" +
 			"2.5 2026/12/01 10:00:02.500000 event=serving fronts=1\n" +
 			"3.0 2026/12/01 10:00:03.000000 event=counters attempts=2 requests=1\n", // a new process
 		"n1.log": "2026/12/01 10:00:02.000000 event=counters attempts=5 requests=x\nnot a line event=counters\n",
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -104,6 +105,6 @@
 type logged struct{}
 
 func (logged) Write(b []byte) (int, error) {
-	log.Printf("event=admin_call_failed error=%q", strings.TrimSpace(string(b)))
+	slog.Warn("admin_call_failed", "error", strings.TrimSpace(string(b)))
 	return len(b), nil
 }
--- a/internal/admin/answer.go
+++ b/internal/admin/answer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"slices"
@@ -142,7 +142,7 @@
 		err = ErrNotInTime
 	}
 	if r.Method == http.MethodPost {
-		log.Printf("event=admin call=%.300q done=%t", r.URL.Path, err == nil)
+		slog.Info("admin", "call", fmt.Sprintf("%.300s", r.URL.Path), "done", err == nil)
 	}
 	if err != nil {
 		text = err.Error() + "\n"
--- a/internal/balancers/balancers.go
+++ b/internal/balancers/balancers.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
@@ -93,7 +93,7 @@
 			defer conn.Close()
 			conn.SetDeadline(time.Now().Add(answerFor))
 			if _, err := conn.Write([]byte(s.Agent())); err != nil {
-				log.Printf("event=check_failed peer=%s error=%q", conn.RemoteAddr(), err)
+				slog.Warn("check_failed", "peer", conn.RemoteAddr(), "error", err)
 				return nil
 			}
 			finish(conn)
--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -99,7 +99,7 @@
 			}
 			looked = draining
 		default:
-			log.Printf("event=accept_failed front=%s error=%q", s.Name, err)
+			slog.Warn("accept_failed", "front", s.Name, "error", err)
 			time.Sleep(acceptWait)
 		}
 	}
@@ -222,7 +222,7 @@
 	if l, ok := s.intake.Listener.(interface{ File() (*os.File, error) }); ok && s.Shared {
 		f, err := l.File()
 		if err != nil {
-			log.Printf("event=listener_not_kept front=%s error=%q", s.Name, err)
+			slog.Warn("listener_not_kept", "front", s.Name, "error", err)
 		}
 		s.kept = f
 		s.intake.abandon()
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -133,7 +133,7 @@
 	defer s.mu.Unlock()
 	if now := time.Now(); now.Sub(s.logged) > logEvery {
 		s.logged = now
-		log.Printf("event=client_ended front=%s peer=%s error=%q", s.Name, conn.RemoteAddr(), err)
+		slog.Warn("client_ended", "front", s.Name, "peer", conn.RemoteAddr(), "error", err)
 	}
 }
 
--- a/internal/clients/postgres/postgres.go
+++ b/internal/clients/postgres/postgres.go
@@ -5,7 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"strconv"
 	"time"
@@ -180,7 +180,7 @@
 		if long, ok := a.Value.(io.WriterTo); ok {
 			if n, err := long.WriteTo(c.Session.Slowly()); err != nil { // the client sees that it is not whole
 				c.Counters().Add("streams_cut", 1)
-				log.Printf("event=stream_cut id=%s bytes=%d error=%q", s.ID, n, err)
+				slog.Warn("stream_cut", "id", s.ID, "bytes", n, "error", err)
 				return clients.ErrGone
 			}
 			break
--- a/internal/handover/caps_test.go
+++ b/internal/handover/caps_test.go
@@ -5,9 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"cranegate/internal/handover/place"
 	"cranegate/internal/handover/state"
 	"cranegate/internal/handover/talk"
+	"cranegate/internal/logging"
 	"cranegate/internal/stats"
 )
 
@@ -101,8 +101,7 @@
 
 func heard(t *testing.T) *text {
 	l := &text{}
-	log.SetOutput(l)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	t.Cleanup(logging.Use(logging.New(l, slog.LevelInfo)))
 	return l
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,7 +12,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -163,7 +163,7 @@
 	h.opt.Counters.Add("handover_refused", 1)
 	if now := time.Now(); now.Sub(h.refusedAt) >= time.Second {
 		h.refusedAt = now
-		log.Printf("event=handover_refused error=%q", why)
+		slog.Warn("handover_refused", "error", why)
 	}
 }
 
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"net"
 	"time"
 
@@ -131,7 +131,7 @@
 	blob := h.opt.Export()
 	if len(blob) > talk.MostBlob {
 		h.opt.Counters.Add("handover_blobs_too_large", 1)
-		log.Printf("event=handover_blob_too_large error=%q", BlobTooLarge{len(blob)})
+		slog.Warn("handover_blob_too_large", "error", BlobTooLarge{len(blob)})
 		return nil
 	}
 	return blob
--- a/internal/handover/pass/pass.go
+++ b/internal/handover/pass/pass.go
@@ -6,7 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -106,7 +106,7 @@
 		}
 		giveBack, err := r.lend(ctx, int(from.Add(1)))
 		if err != nil { // what was sent before this is taken; from here on the other end learns that nothing more is
-			log.Printf("event=passing_refused error=%q", err)
+			slog.Warn("passing_refused", "error", err)
 			c.CloseRead()
 		}
 		group.Go(func() {
--- a/internal/handover/pass/pass_test.go
+++ b/internal/handover/pass/pass_test.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"cranegate/internal/logging"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -93,8 +93,7 @@
 // connection is taken and acknowledged. The next process is told at once that it keeps its own, and the log says why.
 func TestAThousandHandOver(t *testing.T) {
 	told := &text{}
-	log.SetOutput(told)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	t.Cleanup(logging.Use(logging.New(told, slog.LevelInfo)))
 	dir, client := t.TempDir(), conn(t)
 	var lent atomic.Int64
 	taken := receiver(t, dir, func(context.Context) (func(), error) {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"maps"
 	"net"
 	"os"
@@ -66,7 +66,7 @@
 	for _, t := range s.Targets {
 		phase, ok := phases[t.State]
 		if !ok {
-			log.Printf("event=list_state_unknown member=%q state=%q", t.UID, t.State)
+			slog.Warn("list_state_unknown", "member", t.UID, "state", t.State)
 			phase = rules.PhaseDraining
 		}
 		l.Hosts = append(l.Hosts, core.Host{Address: t.Endpoint, Entry: rules.Entry{Member: t.UID, Group: t.Group,
@@ -182,7 +182,7 @@
 		w.counters.Add("list_calls_failed", 1)
 		if now := time.Now(); now.Sub(logged) > time.Second { // an outage fails many
 			logged = now
-			log.Printf("event=list_call_failed error=%q", err)
+			slog.Warn("list_call_failed", "error", err)
 		}
 		var away turnedAway
 		if errors.As(err, &away) {
@@ -198,7 +198,7 @@
 func (w *Watcher) moved(address string) {
 	w.address = address
 	w.pace.Answered()
-	log.Printf("event=list_moved address=%s rev=%d", address, w.rev)
+	slog.Info("list_moved", "address", address, "rev", w.rev)
 }
 
 // follow makes calls, each at once after the last answer, until one fails. Each time it begins on a new connection; glance
--- a/internal/peers/caps_test.go
+++ b/internal/peers/caps_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 
+	"cranegate/internal/logging"
 	"cranegate/internal/members"
 )
 
@@ -27,9 +28,7 @@
 // and what it tells in turn is sent whole. The 1,025th is refused, in the view and in the log, with what to do, and once.
 func TestViewOfAThousandGateways(t *testing.T) {
 	var log lines
-	old := slog.Default()
-	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
-	t.Cleanup(func() { slog.SetDefault(old) })
+	t.Cleanup(logging.Use(logging.New(&log, slog.LevelInfo)))
 	p := listen(t, "a", nil)
 	run(t, p)
 	row := func(i int) members.Row {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -181,7 +181,7 @@
 	p.tellRefused()
 	if size, part := p.node.Size(), p.node.Part(); size != p.size || part != p.part {
 		if p.size != 0 {
-			slog.Info("event=fleet_counted", "gateways", size, "part", part, "before", p.size)
+			slog.Info("fleet_counted", "gateways", size, "part", part, "before", p.size)
 		}
 		p.size, p.part = size, part
 		if p.opt.Counted != nil {
@@ -197,7 +197,7 @@
 		return
 	}
 	p.refused, p.toldAt = n, now
-	slog.Warn("event=fleet_full", "error", FleetFull{1 + len(p.node.Members())}, "refused", n)
+	slog.Warn("fleet_full", "error", FleetFull{1 + len(p.node.Members())}, "refused", n)
 }
 
 // FleetFull says that a gateway was not taken in, as the view is full.
@@ -214,7 +214,7 @@
 		from = "new"
 	}
 	p.opt.Counters.Add("peers_changes_to_"+c.Row.State.String(), 1)
-	slog.Info("event=member", "name", c.Row.Name, "start", start(c.Row.Start), "address", c.Row.Addr, "zone", c.Row.Zone, "from", from,
+	slog.Info("member", "name", c.Row.Name, "start", start(c.Row.Start), "address", c.Row.Addr, "zone", c.Row.Zone, "from", from,
 		"to", c.Row.State.String(), "by", c.By, "why", c.Why, "after", c.Took.Round(time.Millisecond).String())
 }
 
--- a/internal/servers/host.go
+++ b/internal/servers/host.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"math"
 	"slices"
 	"time"
@@ -281,7 +281,7 @@
 	h.pool.opt.Counters.Add("server_connects_failed", 1)
 	if now := time.Now(); now.Sub(h.loggedAt) > time.Second { // an outage fails many
 		h.loggedAt = now
-		log.Printf("event=connect_failed member=%s error=%q", h.name, err)
+		slog.Warn("connect_failed", "member", h.name, "error", err)
 	}
 	if h.expected() {
 		return
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -2,8 +2,9 @@
 package stats
 
 import (
+	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"maps"
 	"slices"
 	"strings"
@@ -63,5 +64,18 @@
 	return strings.Join(parts, " ")
 }
 
-// Log writes the counters as one line.
-func (c *Counters) Log(event string) { log.Printf("event=%s %s", event, c) }
+// Log writes the counters as one line, in order of their names.
+func (c *Counters) Log(event string) {
+	slog.LogAttrs(context.Background(), slog.LevelInfo, event, c.attributes()...)
+}
+
+// attributes are the counters for a line of the log.
+func (c *Counters) attributes() []slog.Attr {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []slog.Attr
+	for _, name := range slices.Sorted(maps.Keys(c.counts)) {
+		all = append(all, slog.Int64(name, c.counts[name]))
+	}
+	return all
+}
