Guard sends, repeats, closes and starts at run time, and count violations

Change: internal/invariant judges an attempt as it is written (host withdrawn, request ended, client gone, past its times), further attempts of a request (a ledger by effect, window and limits), a connection that ends (read and unanswered, unless the system says that the client left) and starts (listening without a list, a cold host's budget overdrawn). Attempt.transition is the one place that changes an attempt's state. Violations are counted (violations, violations_RULE) and logged with id, host and by how much. The module tells why it refuses or fails (refused_REASON, failed_REASON), connections count why they end (FRONT_closed_REASON); at level debug each attempt, answer and close is a line with the client's id.

The rigs of clients and servers, the program's tests and optest now fail where a violation is counted.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -23,6 +23,7 @@
 	"cranegate/internal/config"
 	"cranegate/internal/core"
 	"cranegate/internal/handover/inherit"
+	"cranegate/internal/invariant"
 	"cranegate/internal/list"
 	"cranegate/internal/netbuf"
 	"cranegate/internal/pace"
@@ -45,6 +46,7 @@
 // gateway is the running program.
 type gateway struct {
 	counters *stats.Counters
+	monitor  *invariant.Monitor
 	status   *balancers.Status
 	room     *clients.Room  // descriptors for clients
 	budget   *netbuf.Budget // bytes for what clients send
@@ -112,6 +114,7 @@
 	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, room: clients.NewRoom(d.clients),
 		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: d.servers, staff: d.staff, stop: stop, work: work, fronts: &errgroup.Group{},
 		lists: map[string]followed{}, limits: limits, handed: handed{places: d.clients}}
+	g.monitor = &invariant.Monitor{Counters: g.counters}
 	g.actors, _ = errgroup.WithContext(work)
 	g.status.Free = g.room.Free
 	g.actors.Go(func() error { g.logOnRequest(counters); return nil })
@@ -285,7 +288,7 @@
 	pool := servers.New(g.work, servers.Options{Start: f.start, ConnectTimeout: f.settings.ConnectTimeout,
 		IdleFor: f.settings.IdleClose * 2 / 3, MostOpen: g.servers, Gateways: f.settings.Rules.Gateways, Counters: g.counters})
 	c, err := core.New(core.Options{Rules: f.settings.Rules, Seed: f.seed, AnswerSlack: f.settings.AnswerSlack,
-		ProbeTimeout: f.settings.ConnectTimeout, Counters: g.counters}, pool)
+		ProbeTimeout: f.settings.ConnectTimeout, Counters: g.counters, Monitor: g.monitor}, pool)
 	if err != nil {
 		return err
 	}
@@ -294,7 +297,7 @@
 		f.known = known
 	}
 	calls := pace.New(f.settings.Rules.Gateways, f.seed)
-	front := &clients.Server{Name: f.name, Front: f.front, Core: c, Room: g.room, Budget: g.budget, Counters: g.counters}
+	front := &clients.Server{Name: f.name, Front: f.front, Core: c, Room: g.room, Budget: g.budget, Counters: g.counters, Monitor: g.monitor}
 	if g.hand != nil {
 		front.Pass = g.pass(f.name)
 		front.Shared = f.name == "postgres" && os.Getenv(inherit.Variable) != ""
--- a/cmd/cranegate/main_test.go
+++ b/cmd/cranegate/main_test.go
@@ -173,6 +173,9 @@
 	w.t.Cleanup(func() {
 		cmd.Process.Kill()
 		cmd.Wait()
+		if strings.Contains(w.out.String(), "event=violation") {
+			w.t.Error("violations of the rules in the log")
+		}
 		if w.t.Failed() {
 			w.t.Log(w.out.String())
 			w.out = &output{}
--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"cranegate/internal/invariant"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -38,6 +39,7 @@
 // Run accepts clients until the context ends, and some time longer; then it closes the listener behind the last client in
 // its backlog, has all clients sent away, and returns once every request taken has its answer.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	s.guardStart()
 	s.mu.Lock()
 	if s.intake = s.accepts(l); s.retired {
 		s.shut()
@@ -76,6 +78,15 @@
 	return nil
 }
 
+// guardStart checks that the core can serve as clients begin to be taken.
+func (s *Server) guardStart() {
+	select {
+	case <-s.Core.Ready():
+	default:
+		s.Monitor.Report(invariant.Violation{Rule: invariant.Start, Reason: invariant.NotReady})
+	}
+}
+
 // accept takes clients until the listener is closed, or its backlog is empty as it is about to be. Nobody waits for it
 // without end: where another process that shares the socket has set it to blocking, an accept may hang in the kernel, and
 // keep Close waiting too, until one more client comes.
--- a/internal/clients/ask.go
+++ b/internal/clients/ask.go
@@ -19,6 +19,7 @@
 // A client whose end has come has gone, also one that shut only its sending side: on the wire that looks the same until an
 // answer is written. What it sent behind the request is not begun then.
 func (x *Session) Ask(q *core.Request, id string, size int) (core.Answer, error) {
+	x.lastID = id
 	if !x.server.begin(id) {
 		return core.Answer{}, ErrOpen
 	}
@@ -38,6 +39,7 @@
 	q.Arrived = x.arrived
 	wait := x.server.Room.plan.Load().Wait(x.arrived, x.server.Core.Wait(q))
 	q.Wait = wait
+	q.ID = id
 	q.Left = x.Left
 	q.Reply = func(a core.Answer) {
 		answers <- a
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -17,6 +17,7 @@
 
 	"cranegate/internal/clients/away"
 	"cranegate/internal/core"
+	"cranegate/internal/invariant"
 	"cranegate/internal/netbuf"
 	"cranegate/internal/stats"
 )
@@ -66,6 +67,7 @@
 	Room     *Room          // a descriptor for each client; all fronts may share it
 	Budget   *netbuf.Budget // bytes for all that clients send; all fronts may share it
 	Counters *stats.Counters
+	Monitor  *invariant.Monitor // takes violations of the rules; nil: they are not counted
 	// Pass hands a connection with nothing under way to another process, once the room's plan says so: started says
 	// that the client has said who it is, asked that it has had an answer. From a true on it is the other's. Nil: none is
 	// handed over. It is set before Run.
@@ -119,6 +121,7 @@
 	conn := x.Conn.Conn
 	x.Charge(s.Budget)
 	err := s.talk(x)
+	x.guardClose(err)
 	x.Release()
 	x.close(err)
 	if err != nil && !errors.Is(err, ErrGone) && !errors.Is(err, errLetGo) && !errors.Is(err, errSentAway) && !errors.Is(err, errPassed) {
@@ -142,7 +145,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			s.Counters.Add(s.Name+"_panics", 1)
-			err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
+			err = fmt.Errorf("%w: %v\n%s", errPanic, p, debug.Stack())
 		}
 	}()
 	return s.Front.Serve(x)
@@ -162,6 +165,8 @@
 	proves  time.Time // until when a first request must be whole; zero once one was good
 	arrived time.Time // when the last byte of the message in hand came; it may have stood behind others since
 	faults  int       // messages in a row that could not be used
+	owes    bool      // a message was read that has no answer yet, for the guard on closes alone
+	lastID  string    // the id of the last request, for the log
 
 	leaving atomic.Bool // its place is wanted: it ends unless something has come
 	resting time.Time   // since when nothing is open, zero while something is; like the next two, owned by the room
@@ -191,6 +196,7 @@
 // client has left, or where clients are sent away and nothing of a message has come. What has come by then is taken:
 // that guards against a close that crosses a request.
 func (x *Session) Next(read func() error) error {
+	x.owes = false // the front has come back: it has answered, or nothing was owed
 	if x.Buffered() == 0 {
 		x.server.Room.rest(x)
 	}
@@ -245,6 +251,7 @@
 	if x.arrived = x.Came(); err != nil {
 		return x.gone(err)
 	}
+	x.owes = true
 	return nil
 }
 
@@ -316,6 +323,7 @@
 type slowly struct{ x *Session }
 
 func (s slowly) Write(b []byte) (n int, err error) {
+	s.x.owes = false // what breaks off from here on the client can tell from a whole answer
 	for n < len(b) {
 		s.x.SetWriteDeadline(time.Now().Add(writeFor))
 		m, err := s.x.Write(b[n:])
@@ -329,6 +337,7 @@
 
 // Send writes to the client.
 func (x *Session) Send(b []byte) error {
+	x.owes = false // also where the client takes nothing
 	x.SetWriteDeadline(time.Now().Add(writeFor))
 	if _, err := x.Write(b); err != nil {
 		return ErrGone
--- a/internal/clients/rig_test.go
+++ b/internal/clients/rig_test.go
@@ -16,6 +16,7 @@
 	"cranegate/internal/clients/mysql"
 	"cranegate/internal/clients/postgres"
 	"cranegate/internal/core"
+	"cranegate/internal/invariant"
 	"cranegate/internal/mysqlwire"
 	"cranegate/internal/netbuf"
 	"cranegate/internal/servers"
@@ -98,7 +99,7 @@
 	r.pool = servers.New(work, servers.Options{Connect: r.dial, Start: start, ConnectTimeout: 250 * time.Millisecond,
 		IdleFor: 20 * time.Second, MostOpen: 100, Gateways: gateways, Counters: r.counters})
 	c, err := core.New(core.Options{Rules: testRules, Seed: 1, AnswerSlack: 20 * time.Millisecond,
-		ProbeTimeout: 250 * time.Millisecond, Counters: r.counters}, r.pool)
+		ProbeTimeout: 250 * time.Millisecond, Counters: r.counters, Monitor: &invariant.Monitor{Counters: r.counters}}, r.pool)
 	if err != nil {
 		panic(err)
 	}
@@ -110,7 +111,8 @@
 		front = mysql.Front{}
 	}
 	s := &clients.Server{Name: "test", Front: front, Core: c, Room: r.room, Budget: r.budget,
-		Counters: r.counters}
+		Counters: r.counters, Monitor: &invariant.Monitor{Counters: r.counters}}
+	<-c.Ready()
 	go func() { r.ended <- s.Run(stopped, r.pipes) }()
 	return r
 }
@@ -169,6 +171,9 @@
 	time.Sleep(3 * time.Second) // attempts that nobody waits for run out
 	r.kill()
 	r.pool.Wait()
+	if n := r.counters.Get("violations"); err == nil && n > 0 {
+		err = fmt.Errorf("%d violations: %v", n, r.counters)
+	}
 	if err == nil && !r.budget.Take(rigBudget) {
 		err = errors.New("memory was not given back")
 	}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -2,20 +2,27 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"cranegate/internal/logging"
 	"cranegate/rules"
 )
 
-// The states of an attempt. Whether it has begun settles whether it may have run.
+// attemptState is where an attempt stands. Whether it was written settles whether it may have run.
+type attemptState int32
+
+// The states. An attempt leaves stateWaiting once, for one of the others, and stays there.
 const (
-	waits int32 = iota // for a connection
-	begun              // its first byte may have been written
-	over               // without a byte written
+	stateWaiting attemptState = iota // for a connection
+	stateWritten                     // its first byte may have been written
+	stateUnsent                      // it is over without a byte written
 )
 
+func (s attemptState) String() string { return [...]string{"waiting", "written", "unsent"}[s] }
+
 // Attempt is one try of a request at a database host, or a probe where Request is nil. The host's connection
 // calls Begin before the first byte and Done at the end.
 type Attempt struct {
@@ -27,8 +34,8 @@
 	core   *Core
 	number int
 	sentAt time.Duration
-	state  atomic.Int32
-	closed bool // its outcome is settled; owned by the module's actor
+	state  atomic.Int32 // an attemptState; transition alone changes it
+	closed bool         // its outcome is settled; owned by the module's actor
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -57,25 +64,45 @@
 // module's actor, or even the client's session, may not have heard yet.
 func (a *Attempt) Begin() bool {
 	if a.latest > 0 && a.core.clock.now() >= a.latest {
-		a.state.CompareAndSwap(waits, over)
+		a.transition(stateUnsent, "past_latest")
 		return false
 	}
-	return !a.Request.leaves() && a.state.CompareAndSwap(waits, begun)
+	return !a.Request.leaves(a.core) && a.transition(stateWritten, "connected")
 }
 
+// transition takes the attempt out of stateWaiting, and says whether it was this call that did. It is the one place that changes
+// the state: what the rules want of a send and of a repeat is checked here.
+func (a *Attempt) transition(to attemptState, why string) bool {
+	move := func() bool { return a.state.CompareAndSwap(int32(stateWaiting), int32(to)) }
+	if to == stateWritten && a.Request != nil { // a probe runs nothing
+		guarded := move
+		move = func() bool { return a.guard(guarded) }
+	}
+	if !move() {
+		return false
+	}
+	if logging.Debugs() {
+		slog.Debug("attempt", "id", a.Request.name(), "attempt", a.number, "host", a.Member, "state", to, "reason", why)
+	}
+	return true
+}
+
+// current is the state as of now.
+func (a *Attempt) current() attemptState { return attemptState(a.state.Load()) }
+
 // within gives an attempt the time before which it has to begin.
 func (a *Attempt) within(latest time.Duration) {
 	a.latest = latest
-	a.unbegun = a.core.timers.add(latest, func() { a.neverBegins(rules.ResultMoot) })
+	a.unbegun = a.core.timers.add(latest, func() { a.neverBegins(rules.ResultMoot, "past_latest") })
 }
 
 // neverBegan ends the wait of an attempt, and says whether no byte of it has been or will be written.
-func (a *Attempt) neverBegan() bool {
-	return a.state.CompareAndSwap(waits, over) || a.state.Load() == over
+func (a *Attempt) neverBegan(why string) bool {
+	return a.transition(stateUnsent, why) || a.current() == stateUnsent
 }
 
 // Waiting says whether the attempt still wants a connection.
-func (a *Attempt) Waiting() bool { return a.state.Load() == waits && !a.Request.hasLeft() }
+func (a *Attempt) Waiting() bool { return a.current() == stateWaiting && !a.Request.hasLeft() }
 
 // Done hands in the outcome. Only the first counts, and none after the core has given the attempt up.
 func (a *Attempt) Done(o Outcome) { a.core.post(func() { a.settle(o) }) }
@@ -121,13 +148,13 @@
 	list := slices.DeleteFunc(c.waiting[a.Member], func(x *Attempt) bool { return x.closed || !x.Waiting() })
 	c.waiting[a.Member] = append(list, a)
 	if !c.servers.Start(a) {
-		a.neverBegins(rules.ResultConnectFailed)
+		a.neverBegins(rules.ResultConnectFailed, "host_declined")
 	}
 }
 
-// neverBegins ends an attempt that waits for a connection; it does nothing to one that has begun.
-func (a *Attempt) neverBegins(result rules.Result) {
-	if !a.closed && a.neverBegan() {
+// neverBegins ends an attempt that waits for a connection; it does nothing to one that was written.
+func (a *Attempt) neverBegins(result rules.Result, why string) {
+	if !a.closed && a.neverBegan(why) {
 		a.finish(Outcome{Result: result})
 	}
 }
@@ -137,7 +164,7 @@
 	if a.closed {
 		return
 	}
-	if a.neverBegan() {
+	if a.neverBegan(resultNames[result]) {
 		result = rules.ResultMoot
 	}
 	a.finish(Outcome{Result: result})
@@ -147,10 +174,10 @@
 // none, and the request ends here if word of that is still on its way. One that came too late to begin never ran, whatever
 // its connection says, which may come before the timer's word.
 func (a *Attempt) settle(o Outcome) {
-	if a.state.Load() == over {
+	if a.current() == stateUnsent {
 		o = Outcome{Result: rules.ResultMoot}
 	}
-	if !a.closed && a.state.Load() == waits && a.Request.hasLeft() {
+	if !a.closed && a.current() == stateWaiting && a.Request.hasLeft() {
 		a.core.gone(a.Request)
 	}
 	if !a.closed {
@@ -175,7 +202,12 @@
 		}
 		q := a.Request
 		q.out = slices.DeleteFunc(q.out, func(x *Attempt) bool { return x == a })
+		q.ledger.End(a.number, o.Result)
 		c.opt.Counters.Add(resultNames[o.Result], 1)
+		if logging.Debugs() {
+			slog.Debug("attempt_ended", "id", q.ID, "attempt", a.number, "host", a.Member, "result", resultNames[o.Result],
+				"took", c.now-a.sentAt)
+		}
 		if o.Result == rules.ResultOK {
 			c.answer(q, Answer{Status: Served, Value: o.Value})
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,11 +10,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"cranegate/internal/hands"
+	"cranegate/internal/invariant"
+	"cranegate/internal/logging"
 	"cranegate/internal/stats"
 	"cranegate/internal/zones"
 	"cranegate/rules"
@@ -30,6 +32,8 @@
 	Failed                // nothing is promised
 )
 
+func (s Status) String() string { return [...]string{"served", "refused", "failed"}[s] }
+
 // Answer is a request's final answer.
 type Answer struct {
 	Status   Status
@@ -48,13 +52,18 @@
 	Repeat  bool
 	Payload any // the statement, in its protocol's form
 
+	// ID is the client's own name for the request, for the log. It may be empty.
+	ID string
+
 	// Left says whether the client has gone by now. It is called by any goroutine and must not block; nil: only Gone tells.
 	Left func() bool
 
 	// Reply takes the final answer. It is called once, by the module's actor, and must not block.
 	Reply func(Answer)
 
-	left     atomic.Bool // the client has gone; set by any goroutine, and never taken back
+	leftAt   atomic.Int64 // when the client was known to have gone, on the core's clock; 0: it is there. Set once, by any goroutine
+	answered atomic.Bool  // its final answer has been handed to the client; owned by the guards
+	ledger   invariant.Ledger
 	id       uint64
 	class    *rules.Class
 	deadline time.Duration
@@ -65,16 +74,27 @@
 }
 
 // hasLeft says whether the client is known to have gone. A probe has none.
-func (q *Request) hasLeft() bool { return q != nil && q.left.Load() }
+func (q *Request) hasLeft() bool { return q != nil && q.leftAt.Load() != 0 }
+
+// leave notes that the client has gone.
+func (q *Request) leave(c *Core) { q.leftAt.CompareAndSwap(0, int64(c.clock.now())) }
+
+// name is the client's id of the request; that of a probe is "probe".
+func (q *Request) name() string {
+	if q == nil {
+		return "probe"
+	}
+	return q.ID
+}
 
 // lookAfter is how long a request may be out before its client is looked at right before an attempt begins. It was looked at
 // when the request came; from a client's close on 0.1 s may pass.
 const lookAfter = 20 * time.Millisecond
 
 // leaves looks whether the client has gone, where its close may not have been heard of yet.
-func (q *Request) leaves() bool {
-	if q != nil && q.Left != nil && !q.left.Load() && time.Since(q.Arrived) > lookAfter && q.Left() {
-		q.left.Store(true)
+func (q *Request) leaves(c *Core) bool {
+	if q != nil && q.Left != nil && !q.hasLeft() && time.Since(q.Arrived) > lookAfter && q.Left() {
+		q.leave(c)
 	}
 	return q.hasLeft()
 }
@@ -111,6 +131,7 @@
 	AnswerSlack  time.Duration // a final answer may come this much after the client's deadline
 	ProbeTimeout time.Duration
 	Counters     *stats.Counters
+	Monitor      *invariant.Monitor // takes violations of the rules; nil: they are not counted
 }
 
 // mailboxSize bounds what waits for the module's actor. Senders wait when it is full.
@@ -127,8 +148,9 @@
 	now      time.Duration
 	timers   timers
 	requests map[uint64]*Request
-	waiting  map[string][]*Attempt // by member: attempts that may not have begun
-	ended    []func()              // outcomes for the module, after the event in hand
+	waiting  map[string][]*Attempt // by member: attempts that may not have been written
+	notices  notices
+	ended    []func() // outcomes for the module, after the event in hand
 	lastID   uint64
 	zonesAt  time.Duration   // when their reads are counted next
 	ctx      context.Context // of all attempts; ends with the actor
@@ -186,7 +208,7 @@
 // Gone tells that the client has left: no answer is owed. No attempt of the request begins once it is called, however
 // long the module's actor takes to hear of it.
 func (c *Core) Gone(q *Request) {
-	q.left.Store(true)
+	q.leave(c)
 	c.post(func() { c.gone(q) })
 }
 
@@ -293,9 +315,9 @@
 func (c *Core) Tune(o zones.Options) {
 	c.post(func() {
 		if z := c.router.Zones(); z == nil {
-			log.Printf("event=zones_off detail=%q", "the program was started without zones; a restart turns them on")
+			slog.Warn("zones_off", "detail", "the program was started without zones; a restart turns them on")
 		} else if err := z.Tune(o); err != nil {
-			log.Printf("event=zones_refused error=%q", err)
+			slog.Warn("zones_refused", "error", err)
 		}
 	})
 }
@@ -382,7 +404,8 @@
 		return
 	}
 	c.opt.Counters.Add("overdue", 1)
-	log.Printf("event=overdue request=%d class=%s attempts=%d", q.id, q.Class, q.sent)
+	c.opt.Monitor.Report(invariant.Violation{Rule: invariant.Close, Reason: invariant.LateAnswer, Request: q.ID})
+	slog.Warn("overdue", "id", q.ID, "request", q.id, "class", q.Class, "attempts", q.sent)
 	c.answer(q, Answer{Status: Failed})
 	c.router.ClientGone(c.now, q.id)
 	c.forget(q)
@@ -423,6 +446,7 @@
 	for _, e := range m.Entries {
 		stays[e.Member] = e.Phase == rules.PhaseOn
 	}
+	c.notices.take(c.now, m, c.opt.Rules.OnlyDrainingBinds)
 	c.router.Members(c.now, m)
 	for member, attempts := range c.waiting {
 		on, listed := stays[member]
@@ -430,7 +454,7 @@
 			continue
 		}
 		for _, a := range attempts {
-			a.neverBegins(rules.ResultMoot)
+			a.neverBegins(rules.ResultMoot, "host_withdrawn")
 		}
 		delete(c.waiting, member) // its id may never come again
 	}
@@ -442,17 +466,33 @@
 		return
 	}
 	c.end(q)
-	c.opt.Counters.Add([]string{"served", "refused", "failed"}[a.Status], 1)
+	c.opt.Counters.Add(a.Status.String(), 1)
 	c.opt.Counters.Took(c.now - q.deadline + q.Wait)
+	if logging.Debugs() {
+		slog.Debug("answered", "id", q.ID, "class", q.Class, "status", a.Status, "attempts", q.sent, "took", c.now-q.deadline+q.Wait)
+	}
+	q.answered.Store(true)
 	q.Reply(a)
 }
 
+// unserved gives a final answer that is no service, and counts why.
+func (c *Core) unserved(q *Request, a Answer, why rules.Reason) {
+	if q.ended {
+		return
+	}
+	c.opt.Counters.Add(a.Status.String()+"_"+string(why), 1)
+	if logging.Debugs() {
+		slog.Debug("unserved", "id", q.ID, "status", a.Status, "reason", why, "attempts", q.sent)
+	}
+	c.answer(q, a)
+}
+
 // end marks a request as over. What still waits for a connection on its behalf never begins.
 func (c *Core) end(q *Request) {
 	q.ended = true
 	q.overdue.cancel()
 	for _, a := range q.out {
-		a.neverBegins(rules.ResultMoot)
+		a.neverBegins(rules.ResultMoot, "request_ended")
 	}
 	c.forget(q)
 }
@@ -474,7 +514,7 @@
 	c := (*Core)(g)
 	q := c.requests[id]
 	if q == nil {
-		log.Printf("event=send_unknown request=%d member=%s", id, member)
+		slog.Warn("send_unknown", "request", id, "member", member)
 		return
 	}
 	if abandonAt <= 0 || abandonAt > q.deadline {
@@ -489,9 +529,10 @@
 	q.out = append(q.out, a)
 	c.opt.Counters.Add("attempts", 1)
 	if q.ended || a.number >= c.opt.Rules.MaxAttempts || abandonAt <= c.now {
-		a.neverBegins(rules.ResultMoot)
+		a.neverBegins(rules.ResultMoot, "not_started")
 		return
 	}
+	c.checkStart(member)
 	c.start(a)
 }
 
@@ -507,16 +548,16 @@
 }
 
 // Refuse gives a final answer that promises that nothing ran.
-func (g *gateway) Refuse(id uint64, comeBack time.Duration) {
+func (g *gateway) Refuse(id uint64, comeBack time.Duration, why rules.Reason) {
 	if q := g.requests[id]; q != nil {
-		(*Core)(g).answer(q, Answer{Status: Refused, ComeBack: comeBack})
+		(*Core)(g).unserved(q, Answer{Status: Refused, ComeBack: comeBack}, why)
 	}
 }
 
 // Fail gives a final answer that promises nothing.
-func (g *gateway) Fail(id uint64) {
+func (g *gateway) Fail(id uint64, why rules.Reason) {
 	if q := g.requests[id]; q != nil {
-		(*Core)(g).answer(q, Answer{Status: Failed})
+		(*Core)(g).unserved(q, Answer{Status: Failed}, why)
 	}
 }
 
@@ -544,8 +585,8 @@
 // ZoneChanged notes that a zone has come into another state.
 func (g *gateway) ZoneChanged(c zones.Change) {
 	g.opt.Counters.Add("zone_"+c.To.String(), 1)
-	log.Printf("event=zone %s", c)
+	slog.Info("zone", "zone", c.Zone, "from", c.From, "to", c.To, "evidence", c.Reason)
 }
 
 // Log writes a line for people.
-func (g *gateway) Log(text string) { log.Printf("event=module text=%q", text) }
+func (g *gateway) Log(text string) { slog.Info("module", "text", text) }
--- a/internal/core/gone_test.go
+++ b/internal/core/gone_test.go
@@ -57,7 +57,7 @@
 			if i%2 == 0 {
 				say(a.Request)
 			} else { // as it stands when Gone has been called but is behind Done
-				a.Request.left.Store(true)
+				a.Request.leave(c)
 			}
 			if a.Waiting() {
 				t.Errorf("attempt %d still wants a connection", i)
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,95 @@
+package invariant
+
+import (
+	"testing"
+	"time"
+
+	"cranegate/internal/stats"
+	"cranegate/rules"
+)
+
+const ms = time.Millisecond
+
+func yes() bool { return true }
+
+// TestSendIsJudged holds each bound of CheckSend just kept and just broken.
+func TestSendIsJudged(t *testing.T) {
+	const now = 10 * time.Second
+	for name, c := range map[string]struct {
+		a    Attempt
+		want Reason
+	}{
+		"in order":              {Attempt{Now: now, Deadline: now}, None},
+		"answered":              {Attempt{Now: now, Deadline: now, Answered: true}, RequestEnded},
+		"drained just now":      {Attempt{Now: now, Deadline: now, WithdrawnAt: now - Grace}, None},
+		"drained":               {Attempt{Now: now, Deadline: now, WithdrawnAt: now - Grace - ms}, HostWithdrawn},
+		"client left just now":  {Attempt{Now: now, Deadline: now, LeftAt: now - GoneGrace}, None},
+		"client left":           {Attempt{Now: now, Deadline: now, LeftAt: now - GoneGrace - ms}, ClientGone},
+		"held up":               {Attempt{Now: now, Deadline: now - HoldUp, Latest: now - HoldUp}, None},
+		"past its latest begin": {Attempt{Now: now, Deadline: now, Latest: now - HoldUp - ms}, PastLatest},
+		"past its deadline":     {Attempt{Now: now, Deadline: now - HoldUp - ms}, PastDeadline},
+	} {
+		if got, _ := CheckSend(c.a); got != c.want {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// TestRepeatsAreJudged plays two attempts, the first of which ends or stays out, for each effect.
+func TestRepeatsAreJudged(t *testing.T) {
+	const window = 2 * time.Second
+	for _, c := range []struct {
+		name   string
+		effect rules.Effect
+		copies bool
+		ends   bool
+		result rules.Result
+		after  time.Duration
+		want   Reason
+	}{
+		{"once, turned away", rules.Once, false, true, rules.ResultFull, ms, None},
+		{"once, never written", rules.Once, false, true, rules.ResultMoot, ms, None},
+		{"once, reset", rules.Once, false, true, rules.ResultReset, ms, SecondRun},
+		{"once, timed out", rules.Once, true, true, rules.ResultTimeout, ms, SecondRun},
+		{"once, out", rules.Once, true, false, 0, ms, SecondRun},
+		{"keyed, inside its window", rules.Keyed, false, true, rules.ResultReset, window + HoldUp, None},
+		{"keyed, past its window", rules.Keyed, false, true, rules.ResultReset, window + HoldUp + ms, WindowOver},
+		{"keyed, missed before", rules.Keyed, false, true, rules.ResultMiss, 9 * window, None},
+		{"read, reset", rules.Repeatable, false, true, rules.ResultReset, 9 * window, None},
+		{"read, a copy", rules.Repeatable, true, false, 0, ms, None},
+		{"read, a copy that is not allowed", rules.Repeatable, false, false, 0, ms, CopiesOut},
+	} {
+		var l Ledger
+		limits := Limits{Effect: c.effect, Window: window, Copies: c.copies, Attempts: 2}
+		if got, _ := l.Begin(0, 0, limits, yes); got != None {
+			t.Errorf("%s: the first: %q", c.name, got)
+		}
+		if c.ends {
+			l.End(0, c.result)
+		}
+		if got, _ := l.Begin(1, c.after, limits, yes); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+	var l Ledger
+	if _, written := l.Begin(7, 0, Limits{Attempts: 1}, func() bool { return false }); written {
+		t.Error("recorded, though it was not written")
+	}
+	l.Begin(0, 0, Limits{Attempts: 1}, yes)
+	l.End(0, rules.ResultFull)
+	if got, _ := l.Begin(1, ms, Limits{Attempts: 1}, yes); got != TooMany {
+		t.Errorf("a second of one: %q", got)
+	}
+}
+
+// TestViolationsAreCounted counts by rule, and leaves alone what is no violation.
+func TestViolationsAreCounted(t *testing.T) {
+	m := &Monitor{Counters: &stats.Counters{}}
+	m.Report(Violation{Rule: Send, Reason: None})
+	m.Report(Violation{Rule: Send, Reason: ClientGone, Request: "a"})
+	m.Report(Violation{Rule: Close, Reason: Unanswered, Request: "b"})
+	(*Monitor)(nil).Report(Violation{Rule: Close, Reason: Unanswered})
+	if m.Counters.Get("violations") != 2 || m.Counters.Get("violations_send") != 1 || m.Counters.Get("violations_close") != 1 {
+		t.Errorf("%v", m.Counters)
+	}
+}
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -473,14 +473,14 @@
 }
 
 // Refuse is a final answer that promises that nothing ran.
-func (g *gateway) Refuse(id uint64, comeBack time.Duration) {
+func (g *gateway) Refuse(id uint64, comeBack time.Duration, _ rules.Reason) {
 	if q := g.requests[id]; q != nil {
 		g.answer(q, false, true, comeBack, nil, 0)
 	}
 }
 
 // Fail is a final answer that promises nothing.
-func (g *gateway) Fail(id uint64) {
+func (g *gateway) Fail(id uint64, _ rules.Reason) {
 	if q := g.requests[id]; q != nil {
 		g.answer(q, false, false, 0, nil, 0)
 	}
--- a/internal/lab/procs_test.go
+++ b/internal/lab/procs_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"time"
 
 	"cranegate/internal/config"
+	"cranegate/internal/logging"
 	"cranegate/internal/peers"
 )
 
@@ -23,6 +25,7 @@
 
 func TestMain(m *testing.M) {
 	if defect := os.Getenv(breakEnv); defect != "" {
+		logging.Use(logging.New(os.Stderr, slog.LevelInfo)) // as the program does
 		fmt.Fprintln(os.Stderr, brokenMember(defect, os.Args[1]))
 		os.Exit(1)
 	}
--- a/internal/netbuf/left.go
+++ b/internal/netbuf/left.go
@@ -26,6 +26,16 @@
 	return left || !ok
 }
 
+// Established says whether the system holds the connection as open both ways, and whether it says so at all.
+func (c *Conn) Established() (yes, known bool) {
+	const established = 1 // TCP_ESTABLISHED
+	ok := c.control(func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		yes, known = err == nil && info.State == established, err == nil
+	})
+	return yes && ok, known || !ok
+}
+
 // Look reads what the peer has sent by now, and says whether it has closed its connection behind that. It doesn't wait. The
 // goroutine that owns the connection calls it.
 func (c *Conn) Look() bool {
--- a/internal/optest/rig_test.go
+++ b/internal/optest/rig_test.go
@@ -174,6 +174,11 @@
 			p.cmd.Process.Kill() // also one that is stopped
 			<-p.ended
 		}
+		for i, p := range r.procs {
+			if n := p.said("violation"); n > 0 {
+				t.Errorf("process %d: %d violations of the rules in its log", i, n)
+			}
+		}
 		if t.Failed() || time.Since(born) > patience/2 {
 			for i, p := range r.procs {
 				t.Logf("process %d:\n%s", i, p.log())
--- a/internal/servers/rig_test.go
+++ b/internal/servers/rig_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cranegate/internal/core"
+	"cranegate/internal/invariant"
 	"cranegate/internal/mysqlwire"
 	"cranegate/internal/pgwire"
 	"cranegate/internal/servers"
@@ -73,7 +74,8 @@
 		ListRole: rules.ListRoleLate, MayCancel: true, Classes: []rules.Class{
 			{Name: "put", Need: rules.NeedWrite, Aim: soon / 2, Deadline: soon, Worth: 1, Effect: rules.Once},
 			{Name: "brief", Need: rules.NeedWrite, Aim: 300 * time.Millisecond, Deadline: 600 * time.Millisecond, Worth: 1, Effect: rules.Once},
-		}}, Seed: 1, AnswerSlack: 20 * time.Millisecond, ProbeTimeout: time.Second, Counters: r.counters}, pool)
+		}}, Seed: 1, AnswerSlack: 20 * time.Millisecond, ProbeTimeout: time.Second, Counters: r.counters,
+		Monitor: &invariant.Monitor{Counters: r.counters}}, pool)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,6 +84,9 @@
 	all.Go(func() { c.Run(ctx) })
 	all.Go(func() { r.accept(&all) })
 	t.Cleanup(func() {
+		if n := r.counters.Get("violations"); n > 0 {
+			t.Errorf("%d violations: %v", n, r.counters)
+		}
 		cancel()
 		l.Close()
 		r.mu.Lock()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -140,8 +140,8 @@
 	a := &Actions{Writer: w, Instance: "gateway/3"}
 	a.Send(1564119492, "10.0.0.1:50", 8492250*time.Microsecond, 0)
 	a.Cancel(7, 2)
-	a.Refuse(8, 300*time.Millisecond)
-	a.Fail(9)
+	a.Refuse(8, 300*time.Millisecond, rules.ReasonShed)
+	a.Fail(9, rules.ReasonRejected)
 	a.Probe("m", rules.ConnAny)
 	a.SetTimer(10*time.Millisecond, "sweep")
 	a.Subscribe(true)
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -57,12 +57,12 @@
 }
 
 // Refuse writes a busy.
-func (a *Actions) Refuse(request uint64, comeBack time.Duration) {
+func (a *Actions) Refuse(request uint64, comeBack time.Duration, _ rules.Reason) {
 	a.act("busy", id(request), clock(comeBack))
 }
 
 // Fail writes a surrender.
-func (a *Actions) Fail(request uint64) { a.act("surrender", id(request)) }
+func (a *Actions) Fail(request uint64, _ rules.Reason) { a.act("surrender", id(request)) }
 
 // Close writes a close.
 func (a *Actions) Close(member string) { a.act("close", member) }
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -78,12 +78,12 @@
 
 // end is the only way to end a request. Where an answer is owed it is given at once: a refusal where that is
 // true, else a failure. Copies still out are cancelled where they may be.
-func (r *Router) end(q *request, owed bool) {
+func (r *Router) end(q *request, owed bool, why Reason) {
 	harmless := !q.mayRun || q.class.Effect == Keyed && q.class.KeyAll
 	if !q.ended && owed && (harmless || q.class.Effect == Repeatable) {
-		r.gw.Refuse(q.ID, min(time.Duration(adviceShare*float64(q.class.Deadline)), r.cfg.MaxComeBack))
+		r.gw.Refuse(q.ID, min(time.Duration(adviceShare*float64(q.class.Deadline)), r.cfg.MaxComeBack), why)
 	} else if !q.ended && owed {
-		r.gw.Fail(q.ID)
+		r.gw.Fail(q.ID, why)
 	}
 	q.ended = true
 	for _, a := range q.out {
@@ -107,8 +107,8 @@
 		}
 	case ResultConnectFailed, ResultMoot:
 	case ResultRejected: // the client's fault: no other member would do better
-		r.gw.Fail(q.ID)
-		r.end(q, false)
+		r.gw.Fail(q.ID, ReasonRejected)
+		r.end(q, false, ReasonRejected)
 		return
 	default:
 		q.ran = true
@@ -116,13 +116,31 @@
 	q.reached = q.reached || result != ResultConnectFailed && result != ResultMoot
 	q.mayRun = q.ran || len(q.out) > 0
 	if again := q.ran && !a.cancelled && len(q.out) == 0; again && r.tokens < 1 {
-		r.end(q, true)
+		r.end(q, true, ReasonRetryBudget)
 	} else if again {
 		r.tokens--
 	}
 	r.advance(q)
 }
 
+// givesUp says why a request that has nothing out is ended; none if it goes on.
+func (r *Router) givesUp(q *request) Reason {
+	p := q.group.primary()
+	switch waited := r.now - q.deadline + q.Remaining; {
+	case r.now+max(*q.usual/2, sweepEvery) > q.limit:
+		return ReasonHopeless
+	case q.sent >= r.cfg.MaxAttempts:
+		return ReasonAttemptsUsed
+	case r.now >= q.repeatBy():
+		return ReasonWindowOver
+	case r.now >= q.heldTo && !q.reached:
+		return ReasonUnsent
+	case q.group.vain > vainAbove && !q.ran && (p == nil || r.suspect(p)) && waited > q.Remaining/8:
+		return ReasonUnreachable
+	}
+	return ""
+}
+
 // advance decides what to do next for a request: on arrival, after an outcome, and at each sweep.
 func (r *Router) advance(q *request) {
 	p := q.group.primary()
@@ -130,14 +148,12 @@
 		return
 	} else if len(q.out) > 0 {
 		r.reconsider(q)
-	} else if r.now+max(*q.usual/2, sweepEvery) > q.limit || q.sent >= r.cfg.MaxAttempts || // hopeless
-		r.now >= q.repeatBy() || r.now >= q.heldTo && !q.reached || q.group.vain > vainAbove && !q.ran &&
-		(p == nil || r.suspect(p)) && r.now-q.deadline+q.Remaining > q.Remaining/8 {
-		if r.end(q, true); !q.ran {
+	} else if why := r.givesUp(q); why != "" {
+		if r.end(q, true, why); !q.ran {
 			q.group.vain += vainGain * (1 - q.group.vain)
 		}
 	} else if m := r.choose(q); m != nil && q.sent == 0 && (m == p || !q.atPrimary) && !r.admit(q, m) {
-		r.end(q, true)
+		r.end(q, true, ReasonShed)
 	} else if m != nil {
 		a := r.send(q, m)
 		if r.placed(a); m != p && q.atPrimary {
--- a/rules/attempts_test.go
+++ b/rules/attempts_test.go
@@ -35,6 +35,7 @@
 	b.want("sends", b.to(w), "[a a c]")
 	b.want("failures", b.failed[w], 1)
 	b.want("refusals", b.refused[w], 0)
+	b.want("the reason", b.why, ReasonWindowOver)
 }
 
 func TestGivenUpAtOnceWithAdvice(t *testing.T) {
@@ -90,6 +91,7 @@
 	b.want("refusals while there is time", b.refused[w], 0)
 	b.pass(100 * ms)
 	b.want("refusals by half of it", b.refused[w], 1)
+	b.want("the reason", b.why, ReasonUnsent)
 	if b.advice <= 0 || b.advice > half/4 {
 		t.Errorf("advice %v: it leaves no time for another try", b.advice)
 	}
--- a/rules/cold.go
+++ b/rules/cold.go
@@ -65,3 +65,14 @@
 	m.credit -= work.Seconds() * max(0, math.Ceil(m.credit/work.Seconds()-kept))
 	return m.credit >= 0
 }
+
+// Overdrawn says whether a member in slow start has been sent more than the budget had room for. Sends need a
+// budget that is not spent, so that what is owed after one is its own work at most.
+func (r *Router) Overdrawn(id string) bool {
+	m := r.members[id]
+	if m == nil || r.warmth(m) >= 1 || m.creditAt == 0 || len(m.out) == 0 {
+		return false
+	}
+	const rounding = 1e-9 // s
+	return m.credit+m.out[len(m.out)-1].work.Seconds() < -rounding
+}
--- a/rules/events.go
+++ b/rules/events.go
@@ -71,7 +71,7 @@
 		r.gw.Close(a.m.id) // idle connections of ours would keep other gateways out
 	}
 	if o.Closed || q.ended {
-		r.end(q, false)
+		r.end(q, false, "")
 	} else {
 		r.afterAttempt(q, a, o.Result)
 	}
@@ -98,7 +98,7 @@
 func (r *Router) ClientGone(now time.Duration, id uint64) {
 	r.wake(now)
 	if q := r.requests[id]; q != nil {
-		r.end(q, false)
+		r.end(q, false, "")
 	}
 }
 
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -14,9 +14,11 @@
 func (printer) Send(id uint64, member string, abandonAt, beginBy time.Duration) {
 	fmt.Printf("send %d to %s until %v\n", id, member, abandonAt)
 }
-func (printer) Cancel(id uint64, attempt int)             { fmt.Println("cancel", id, attempt) }
-func (printer) Refuse(id uint64, comeBack time.Duration)  { fmt.Println("refuse", id, comeBack) }
-func (printer) Fail(id uint64)                            { fmt.Println("fail", id) }
+func (printer) Cancel(id uint64, attempt int) { fmt.Println("cancel", id, attempt) }
+func (printer) Refuse(id uint64, comeBack time.Duration, _ rules.Reason) {
+	fmt.Println("refuse", id, comeBack)
+}
+func (printer) Fail(id uint64, _ rules.Reason)            { fmt.Println("fail", id) }
 func (printer) Close(member string)                       {}
 func (printer) Probe(member string, by rules.Conn)        {}
 func (printer) SetTimer(after time.Duration, name string) {}
--- a/rules/interface.go
+++ b/rules/interface.go
@@ -248,9 +248,9 @@
 	// Cancel abandons one attempt.
 	Cancel(request uint64, attempt int)
 	// Refuse is a final answer that promises that nothing ran, with advice when to come back.
-	Refuse(request uint64, comeBack time.Duration)
+	Refuse(request uint64, comeBack time.Duration, why Reason)
 	// Fail is a final answer that promises nothing.
-	Fail(request uint64)
+	Fail(request uint64, why Reason)
 	// Close shuts our idle connections to a member.
 	Close(member string)
 	// Probe examines a member over a connection of a kind.
--- a/rules/rig_test.go
+++ b/rules/rig_test.go
@@ -23,6 +23,7 @@
 	sends           []sent
 	refused, failed map[uint64]int
 	advice          time.Duration
+	why             Reason
 	cancels         []string
 	probes, closes  []string
 	subscribed      int
@@ -33,9 +34,12 @@
 func (g *recorder) Send(q uint64, m string, at, by time.Duration) {
 	g.sends = append(g.sends, sent{q, m, at, by})
 }
-func (g *recorder) Cancel(q uint64, n int)                    { g.cancels = append(g.cancels, fmt.Sprint(q, "/", n)) }
-func (g *recorder) Refuse(q uint64, comeBack time.Duration)   { g.refused[q]++; g.advice = comeBack }
-func (g *recorder) Fail(q uint64)                             { g.failed[q]++ }
+func (g *recorder) Cancel(q uint64, n int) { g.cancels = append(g.cancels, fmt.Sprint(q, "/", n)) }
+func (g *recorder) Refuse(q uint64, comeBack time.Duration, why Reason) {
+	g.refused[q]++
+	g.advice, g.why = comeBack, why
+}
+func (g *recorder) Fail(q uint64, why Reason)                 { g.failed[q]++; g.why = why }
 func (g *recorder) Close(m string)                            { g.closes = append(g.closes, m) }
 func (g *recorder) Probe(m string, by Conn)                   { g.probes = append(g.probes, m) }
 func (g *recorder) SetTimer(after time.Duration, name string) { g.timers++ }
