Add a soak of real processes under drawn troubles, judged from outside

Need: faults that nobody has listed show where two or three rare events meet, on real sockets and with real signals.

Change: internal/soak runs a fleet of gateway processes with fake hosts, a proxy for each way to a host, an agent of discovery for each gateway and clients of five kinds. From a seed it draws knots of two or three troubles out of 23 that begin within 0.4 s at one gateway and one host: rolling restarts, kills, pauses, upgrades, reloads in a row, failing discovery, drains, hangs, deaths, late connects, stalls, resets, bad answers, bans, lameduck, descriptors and file sizes taken away by prlimit, a log whose collector stops or ends, and bad clients.

--- a/cmd/cranelab/main.go
+++ b/cmd/cranelab/main.go
@@ -32,6 +32,7 @@
 	Run    runCmd    `cmd:"" help:"Run an experiment and hold its claims against what happened."`
 	Up     upCmd     `cmd:"" help:"Start a stand-in fleet of three zones with a gateway and both fronts, and show it."`
 	Logs   logsCmd   `cmd:"" help:"Sum the counters in the logs of many gateways, second by second."`
+	Soak   soakCmd   `cmd:"" help:"Play real processes under drawn troubles, and judge what they do."`
 	Report reportCmd `cmd:"" help:"Write tables and charts of the results in a folder."`
 }
 
--- /dev/null
+++ b/cmd/cranelab/soak.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"cranegate/internal/soak"
+)
+
+type soakCmd struct {
+	Seed     uint64        `default:"1" help:"First seed; the troubles are drawn from it."`
+	Seeds    int           `default:"1" help:"How many seeds are played, one after the other."`
+	Short    bool          `help:"The form that CI plays."`
+	Gateways int           `help:"Gateways of the fleet; 0 for those of the form."`
+	For      time.Duration `help:"How long troubles are drawn for; 0 for the form's time."`
+	Keep     string        `type:"path" help:"Folder for the gateways' logs, at level debug."`
+	Defect   string        `help:"A defect put into the gateway on purpose, which the runs should find."`
+	Defects  bool          `help:"All defects, one at a time: the command fails unless each is found."`
+	List     bool          `help:"List the defects."`
+}
+
+// Run plays the runs, with real processes in real time.
+func (c soakCmd) Run(ctx context.Context) error {
+	switch {
+	case c.List:
+		for _, d := range soak.Defects {
+			fmt.Printf("%s\t%s\n", d.Name, d.File)
+		}
+		return nil
+	case c.Defects:
+		return c.playDefects(ctx)
+	case c.Defect != "":
+		d, err := soak.FindDefect(c.Defect)
+		if err != nil {
+			return err
+		}
+		return c.playDefect(ctx, d)
+	}
+	found, err := c.play(ctx, nil)
+	if err == nil && len(found) > 0 {
+		err = fmt.Errorf("%w: %v", errClaims, soak.Rules(found))
+	}
+	return err
+}
+
+// options are those of the form, as the flags change them.
+func (c soakCmd) options() soak.Options {
+	o := soak.Long
+	if c.Short {
+		o = soak.Short
+	}
+	if c.Gateways > 0 {
+		o.Gateways = c.Gateways
+	}
+	if c.For > 0 {
+		o.For = c.For
+	}
+	o.Keep = c.Keep
+	return o
+}
+
+// play plays all seeds, and returns what was found.
+func (c soakCmd) play(ctx context.Context, defect *soak.Defect) (found []soak.Finding, err error) {
+	dir, err := os.MkdirTemp("", "cranelab")
+	if err != nil {
+		return nil, fmt.Errorf("making a folder: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	o := c.options()
+	if o.Program, err = soak.Build(ctx, dir, defect); err != nil {
+		return nil, err
+	}
+	for n := range c.Seeds {
+		o.Seed = c.Seed + uint64(n)
+		r, err := soak.Run(ctx, o)
+		if err != nil {
+			return found, err
+		}
+		r.Print(os.Stdout)
+		found = append(found, r.Findings...)
+	}
+	return found, nil
+}
+
+// playDefect plays the seeds with a defect, which has to be found.
+func (c soakCmd) playDefect(ctx context.Context, d *soak.Defect) error {
+	fmt.Printf("with the defect %s:\n", d.Name)
+	found, err := c.play(ctx, d)
+	if err != nil {
+		return err
+	}
+	if !d.Found(found) {
+		return fmt.Errorf("%w: the defect %s was not found", errClaims, d.Name)
+	}
+	fmt.Printf("the defect %s was found: %v\n", d.Name, soak.Rules(found))
+	return nil
+}
+
+// playDefects plays all of them, and goes on behind one that was not found.
+func (c soakCmd) playDefects(ctx context.Context) error {
+	var all error
+	for i := range soak.Defects {
+		if err := c.playDefect(ctx, &soak.Defects[i]); err != nil {
+			fmt.Println(err)
+			all = errors.Join(all, err)
+		}
+	}
+	return all
+}
