Keep the log from holding the gateway up or ending it

Cause: each event was written to standard error by whoever had it: the actors of the module, of the list and of the hosts, the accept loop, and the fronts under their own lock. A pipe that is full makes a write wait, with slog's and log's lock held, so that everybody who has a line waits too; a pipe whose reader has gone makes a write to descriptor 2 raise SIGPIPE, which ends a Go program.

Change: logging.Sink takes lines without waiting and passes them on from a goroutine of its own, up to 4,096 lines or 256 KiB; past that they are dropped and counted (log_lines_dropped), and a line tells how many once the reader is back. SIGPIPE is ignored, so a write to a dead collector fails. The end of the program waits 50 ms at most for its last lines.

The same mistake elsewhere: the program writes to nothing else that may wait without a bound (clients, hosts, discovery and calls of staff have deadlines; the state file is written beside the actors). A limit on file sizes (SIGXFSZ) does not end a Go program: TestFilesMayNotGrow, which passes with and without this change, shows it and that a ban which can't be kept gets no yes.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -25,6 +25,7 @@
 	"cranegate/internal/handover/inherit"
 	"cranegate/internal/invariant"
 	"cranegate/internal/list"
+	"cranegate/internal/logging"
 	"cranegate/internal/netbuf"
 	"cranegate/internal/pace"
 	"cranegate/internal/peers"
@@ -85,8 +86,8 @@
 }
 
 // run serves until stop ends and all that was taken is answered. At each signal of a changed configuration it is
-// read again. The counters are logged every so often; 0: when asked for alone.
-func run(stop context.Context, p *config.Platform, o *config.Operator, counters time.Duration, changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) error {
+// read again. The counters are logged every so often; 0: when asked for alone. Lines that logs drops are counted among them.
+func run(stop context.Context, p *config.Platform, o *config.Operator, counters time.Duration, logs *logging.Sink, changed <-chan os.Signal, reread func() (*config.Platform, *config.Operator, error)) error {
 	var fleets []fleet
 	var limits config.Limits
 	if p != nil {
@@ -114,6 +115,7 @@
 	g := &gateway{counters: &stats.Counters{}, status: &balancers.Status{}, room: clients.NewRoom(d.clients),
 		budget: netbuf.NewBudget(int64(limits.MemoryMB) << 20 / 4), servers: d.servers, staff: d.staff, stop: stop, work: work, fronts: &errgroup.Group{},
 		lists: map[string]followed{}, limits: limits, handed: handed{places: d.clients}}
+	logs.Count(g.counters)
 	g.monitor = &invariant.Monitor{Counters: g.counters}
 	g.actors, _ = errgroup.WithContext(work)
 	g.status.Free = g.room.Free
--- a/cmd/cranegate/main.go
+++ b/cmd/cranegate/main.go
@@ -34,7 +34,6 @@
 }
 
 func main() {
-	logging.Use(logging.New(os.Stderr, logging.Level(os.Getenv(logging.LevelVariable))))
 	if len(os.Args) == 1 { // as the platform starts it, on part of a core: without building a parser
 		runCmd{Operator: os.Getenv("CRANEGATE_OPERATOR")}.Run()
 		return
@@ -55,8 +54,15 @@
 	Counters time.Duration `help:"Log the counters every so often; 0: at SIGUSR1 and at the end alone."`
 }
 
+// flushFor is how long the end of the program waits for its last lines to be taken.
+const flushFor = 50 * time.Millisecond
+
 // Run runs the gateway until SIGTERM. A failure is logged as the last line.
 func (r runCmd) Run() error {
+	logging.Survive()
+	logs := logging.NewSink(os.Stderr)
+	logging.Use(logging.New(logs, logging.Level(os.Getenv(logging.LevelVariable))))
+	defer logs.Flush(flushFor)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	changed := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
@@ -64,12 +70,13 @@
 	path := os.Getenv("PROXY_CONFIG")
 	p, o, err := load(path, r.Operator, config.Load)
 	if err == nil {
-		err = run(ctx, p, o, r.Counters, changed, func() (*config.Platform, *config.Operator, error) {
+		err = run(ctx, p, o, r.Counters, logs, changed, func() (*config.Platform, *config.Operator, error) {
 			return load(path, r.Operator, config.Reload)
 		})
 	}
 	if err != nil {
 		slog.Error("ended", "error", err)
+		logs.Flush(flushFor)
 		os.Exit(1)
 	}
 	return nil
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -13,6 +13,9 @@
 // LevelVariable is the environment variable that names the least level that is logged: debug, info, warn or error.
 const LevelVariable = "CRANEGATE_LOG_LEVEL"
 
+// timeForm is how times are written, in UTC.
+const timeForm = "2006-01-02T15:04:05.000000Z"
+
 // eventKey replaces slog's key of the message.
 const eventKey = "event"
 
@@ -48,7 +51,7 @@
 	case slog.MessageKey:
 		a.Key = eventKey
 	case slog.TimeKey:
-		a.Value = slog.StringValue(a.Value.Time().UTC().Format("2006-01-02T15:04:05.000000Z"))
+		a.Value = slog.StringValue(a.Value.Time().UTC().Format(timeForm))
 	}
 	return a
 }
--- a/internal/optest/files_test.go
+++ b/internal/optest/files_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 const stateFile = "cranegate-state.json"
@@ -93,3 +95,28 @@
 		})
 	}
 }
+
+// TestFilesMayNotGrow bounds the files that a process may write at nothing: a ban that can't be kept gets no yes and holds here all
+// the same, the process lives, and once files may grow the same call gets its yes and outlives the process.
+func TestFilesMayNotGrow(t *testing.T) {
+	r := newRig(t, 256)
+	p := r.start().ready()
+	pid := p.cmd.Process.Pid
+	var before unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 0, Max: unix.RLIM_INFINITY}, &before); err != nil {
+		t.Fatal(err)
+	}
+	if status, body := p.call("POST", "/_database-hosts/detach/db-0-1"); status == 200 || len(body) == 0 {
+		t.Errorf("a ban that can't be kept: %d %q", status, body)
+	}
+	r.serves("bounded")
+	if err := unix.Prlimit(pid, unix.RLIMIT_FSIZE, &before, nil); err != nil {
+		t.Fatal(err)
+	}
+	p.must("/_database-hosts/detach/db-0-1")
+	p.kill()
+	p = r.start().ready()
+	if log := p.log(); !strings.Contains(log, "event=handover older=false out=1") {
+		t.Errorf("the next process: %s", log)
+	}
+}
