--- a/internal/clients/bad_test.go
+++ b/internal/clients/bad_test.go
@@ -172,3 +172,39 @@
 		return nil
 	})
 }
+
+// TestStopsInMidMessage guards what a client is owed that was served before, then stops in the middle of a message and stays: its
+// error or a close within 3 s of its last byte, as other bad clients.
+func TestStopsInMidMessage(t *testing.T) {
+	for form, text := range map[string]string{"postgres": pgQuery(open), "mysql": packet(mysqlwire.ComQuery, open)} {
+		for _, part := range []int{1, 5, len(text) - 1} {
+			t.Run(fmt.Sprint(form, " ", part), func(t *testing.T) {
+				inBubble(t, func() error {
+					rig := newRig(form != "postgres", &standin.Host{Primary: true})
+					defer rig.close()
+					a, err := rig.asker(form)
+					if err != nil {
+						return err
+					}
+					defer a.leave()
+					if r, err := a.ask("look", "before"); err != nil || r.Outcome != "served" {
+						return fmt.Errorf("%+v, %v", r, err)
+					}
+					c := a.conn()
+					if _, err := io.WriteString(c, text[:part]); err != nil {
+						return err
+					}
+					stopped := time.Now()
+					c.SetReadDeadline(stopped.Add(time.Minute))
+					if b, err := c.Need(1); err != io.EOF {
+						return fmt.Errorf("%q, %v", b, err)
+					}
+					if took := time.Since(stopped); took > 3*time.Second {
+						return fmt.Errorf("it was held for %v", took)
+					}
+					return nil
+				})
+			})
+		}
+	}
+}
--- a/internal/clients/rig_test.go
+++ b/internal/clients/rig_test.go
@@ -225,6 +225,14 @@
 	return a.my.Query(text)
 }
 
+// conn is the client's connection.
+func (a *asker) conn() *netbuf.Conn {
+	if a.pg != nil {
+		return a.pg.Conn
+	}
+	return a.my.Conn
+}
+
 func (a *asker) leave() {
 	if a.pg != nil {
 		a.pg.Close()
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -108,7 +108,7 @@
 		}
 	})
 	slack, timed := j.slack()
-	allowed := time.Duration(r.behind+1)*r.wait + answerGrace + slack
+	allowed := r.ahead + r.wait + time.Duration(r.behind+1)*answerGrace + slack
 	if (late || now.Sub(r.sent) > allowed) && timed && !c.gateway.excusedIn(r.sent, now) {
 		j.find(Finding{Rule: ruleLate, Where: r.where(), Detail: fmt.Sprintf("%q after %v of %v", reply.Outcome, now.Sub(r.sent), r.wait)})
 	}
@@ -171,9 +171,11 @@
 	}
 	var all []*request
 	var out []byte
+	var ahead time.Duration
 	for i := range n {
 		r, text := c.newRequest()
-		r.behind, r.sent = i, time.Now()
+		r.behind, r.ahead, r.sent = i, ahead, time.Now()
+		ahead += r.wait
 		c.site.judge.ask(r)
 		all = append(all, r)
 		out = pgwire.Append(out, 'Q', text, "\x00")
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -50,6 +50,7 @@
 	sent     time.Time
 	wait     time.Duration // how long its client waits, as the statement says
 	behind   int           // requests before it on its connection that had no answer yet
+	ahead    time.Duration // how long their clients wait, together
 	outcome  string        // served, refused or failed; empty: none came
 	answered time.Time
 	ended    time.Time // when its connection ended without an answer
