Let go of clients that stop in mid-message within 3 s, served before or not

Cause: messageFor (10 s, clients.go) was the only bound on a message of a client that had asked before. It is meant for devices on poor links, whose message comes slowly; one of which nothing comes any more was held as long.

A message that keeps coming has its 10 s still (TestPoorLink). The time is worked out once, so that a drain can't be put off by a byte now and then.

The same mistake elsewhere: clients that say nothing at first and the first message have bounds of their own (startFor, firstFor); discovery's agent and hosts have deadlines for whole answers.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -25,6 +25,7 @@
 const (
 	writeFor   = 5 * time.Second         // a client that takes no answer for this long is let go
 	messageFor = 10 * time.Second        // and so long for the whole of any message that has begun,
+	stalledFor = 2500 * time.Millisecond // as long as a part of it comes this often: who stops is let go within 3 s,
 	startFor   = 2500 * time.Millisecond // but a client that has asked nothing yet only till this long after it came,
 	firstFor   = time.Second             // or for this long
 	lastRead   = 20 * time.Millisecond   // in which what had come by the end of these times is read
@@ -234,20 +235,7 @@
 		}
 	}
 	x.server.Room.work(x)
-	until := time.Now().Add(messageFor)
-	if !x.starts.IsZero() {
-		until = x.starts
-	} else if !x.proves.IsZero() { // what a device on a poor link gets, a stranger does not
-		if until = time.Now().Add(firstFor); until.Before(x.proves) {
-			until = x.proves
-		}
-	}
-	x.SetReadDeadline(x.server.Room.plan.Load().Read(time.Now(), until))
-	err := read()
-	if errors.Is(err, os.ErrDeadlineExceeded) { // a time that has passed takes nothing, though the rest may lie there since long
-		x.SetReadDeadline(time.Now().Add(lastRead))
-		err = read()
-	}
+	err := x.whole(read)
 	if x.arrived = x.Came(); err != nil {
 		return x.gone(err)
 	}
@@ -255,6 +243,48 @@
 	return nil
 }
 
+// whole calls read until it has a whole message, the message's time is up, or nothing of it has come for stalledFor.
+func (x *Session) whole(read func() error) error {
+	end := x.server.Room.plan.Load().Read(time.Now(), x.messageUntil())
+	for {
+		had := x.Buffered()
+		x.SetReadDeadline(earlier(end, time.Now().Add(stalledFor)))
+		err := read()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if x.Buffered() > had && time.Now().Before(end) {
+			continue
+		}
+		// A time that has passed takes nothing, though the rest may lie there since long.
+		x.SetReadDeadline(time.Now().Add(lastRead))
+		return read()
+	}
+}
+
+// messageUntil is until when a message that begins now has to be whole.
+func (x *Session) messageUntil() time.Time {
+	switch {
+	case !x.starts.IsZero():
+		return x.starts
+	case x.proves.IsZero():
+		return time.Now().Add(messageFor)
+	}
+	// What a device on a poor link gets, a stranger does not.
+	until := time.Now().Add(firstFor)
+	if until.Before(x.proves) {
+		return x.proves
+	}
+	return until
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // endIdle says that an idle session ends, unless its client has sent something by now or has left.
 func (x *Session) endIdle() error {
 	if !x.Alive() {
