Keep an upgrade's old process from passing its clients to itself

Cause: pass.Dial (internal/handover/pass) takes whoever listens at cranegate-clients.sock in the shared folder for the newer process. Where that could not listen (no descriptor, a full folder, a name that is taken), the socket there is still the old process's own. It says that all clients pass (Room.Pass), reaches itself, and TakeOver makes a new session of each connection, whose plan says to pass: the connections go round for ever, without a look at what their clients send. Ruled out: the descriptors' limit at the old process (it was at the new one), lost acknowledgements (each Pass got its own).

Change: a Receiver keeps which file its socket is; Dial is handed the process's own receiver and says ErrNoReceiver where that is what stands in the folder. Clients are then let go when idle, as when nobody listens at all, and connect anew.

The same mistake elsewhere: the processes' own sockets (place.Names leaves out one's own name), the lists of gateways to join (members leaves out itself by its start) and discovery (an address from the settings) can't name the process itself. Between three processes a connection can pass to one that is older than the newest, never back to the sender: each dials once, when superseded.

--- a/cmd/cranegate/handover.go
+++ b/cmd/cranegate/handover.go
@@ -30,16 +30,17 @@
 	inherited knowledge
 	places    int // clients that the whole gateway has room for
 
-	ducks   sync.Mutex // over who says whether clients are sent away
-	mu      sync.Mutex
-	held    map[string]bool // hosts that the cores hold as out
-	applied chan struct{}   // closed once that is so for the first time
-	older   bool            // an older process lives
-	newer   bool            // a newer one does
-	serves  bool            // this process does
-	passed  bool            // the newer one does
-	sender  *pass.Sender    // takes open connections to the newer process; nil: none does
-	left    int             // bytes for clients that are left to the other
+	ducks    sync.Mutex // over who says whether clients are sent away
+	mu       sync.Mutex
+	held     map[string]bool // hosts that the cores hold as out
+	applied  chan struct{}   // closed once that is so for the first time
+	older    bool            // an older process lives
+	newer    bool            // a newer one does
+	serves   bool            // this process does
+	passed   bool            // the newer one does
+	receiver *pass.Receiver  // takes those of an older one; nil: none come
+	sender   *pass.Sender    // takes open connections to the newer process; nil: none does
+	left     int             // bytes for clients that are left to the other
 }
 
 // knowledge is what a process tells the one that follows it, beside what staff have said.
@@ -124,6 +125,9 @@
 		return
 	}
 	r.Lend = g.room.Lend
+	g.mu.Lock()
+	g.receiver = r
+	g.mu.Unlock()
 	g.actors.Go(func() error {
 		return r.Run(g.work, func(c pass.Conn) bool {
 			f, ok := g.lists[c.Front]
@@ -248,7 +252,10 @@
 	for _, f := range g.lists {
 		f.front.Retire()
 	}
-	sender, err := pass.Dial(g.folder)
+	g.mu.Lock()
+	own := g.receiver
+	g.mu.Unlock()
+	sender, err := pass.Dial(g.folder, own)
 	if err != nil {
 		slog.Warn("passing_off", "error", err)
 	}
--- a/internal/handover/pass/pass.go
+++ b/internal/handover/pass/pass.go
@@ -65,7 +65,8 @@
 	// nil: as many as the system gives.
 	Lend func(context.Context) (giveBack func(), err error)
 
-	l *net.UnixListener
+	l  *net.UnixListener
+	at os.FileInfo // its socket in the folder, which tells it from any other's
 }
 
 // Listen makes this process the one that takes connections in a folder, in place of any before it.
@@ -82,11 +83,24 @@
 		return nil, err
 	}
 	l.SetUnlinkOnClose(false) // the path may be another's by then
-	if err := os.Rename(at(dir, own), at(dir, socket)); err != nil {
+	info, err := os.Lstat(at(dir, own))
+	if err == nil {
+		err = os.Rename(at(dir, own), at(dir, socket))
+	}
+	if err != nil {
 		l.Close()
 		return nil, err
 	}
-	return &Receiver{l: l}, nil
+	return &Receiver{l: l, at: info}, nil
+}
+
+// isAt says whether the socket that stands in the folder now is this receiver's.
+func (r *Receiver) isAt(path string) bool {
+	if r == nil {
+		return false
+	}
+	info, err := os.Lstat(path)
+	return err == nil && os.SameFile(info, r.at)
 }
 
 // Run calls take for each connection that comes, until the context ends. What take turns down with false is closed: the
@@ -195,13 +209,18 @@
 	to *net.UnixConn // nil once it has failed
 }
 
-// Dial reaches the process that takes connections in a folder. ErrNoReceiver says that there is none.
-func Dial(folder string) (*Sender, error) {
+// Dial reaches the process that takes connections in a folder. Own is this process's receiver, or nil: where the newer process could
+// not listen the socket in the folder is still its own, and connections passed there would come back for ever. ErrNoReceiver says
+// that there is no other.
+func Dial(folder string, own *Receiver) (*Sender, error) {
 	dir, err := os.Open(folder)
 	if err != nil {
 		return nil, err
 	}
 	defer dir.Close()
+	if own.isAt(at(dir, socket)) {
+		return nil, fmt.Errorf("%w: the socket in %s is this process's own", ErrNoReceiver, folder)
+	}
 	c, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: at(dir, socket), Net: "unixpacket"})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoReceiver, err)
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -79,6 +79,7 @@
 	}
 	defer g.release()
 	defer g.sendsAway()()
+	defer s.judge.forget(g) // the old process may have been told what the new one was not
 	old := g.current()
 	ended := make(chan struct{})
 	go func() { old.term(); close(ended) }()
@@ -134,6 +135,7 @@
 	}
 	defer g.release()
 	defer g.sendsAway()()
+	defer s.judge.forget(g)
 	old := g.current()
 	s.replace(g)
 	time.Sleep(beside)
