--- a/internal/handover/record/record_test.go
+++ b/internal/handover/record/record_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"cranegate/internal/handover/state"
@@ -31,3 +32,57 @@
 		t.Errorf("read back: %+v, %v", got.State(), err)
 	}
 }
+
+// ban gives the registers of one host that is out.
+func ban(t *testing.T, host string) state.Registers {
+	t.Helper()
+	delta, _, err := state.Registers{}.Reserve(state.Change{Host: host, Out: true}, 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return delta
+}
+
+// leave lets this process open so many files more; the call ends that.
+func leave(t *testing.T, files int) (undo func()) {
+	t.Helper()
+	next, err := os.Open(os.DevNull)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lowest := next.Fd()
+	next.Close()
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(lowest) + uint64(files), Max: before.Max}); err != nil {
+		t.Fatal(err)
+	}
+	return func() { syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before) }
+}
+
+// TestNoDescriptorIsNoTornFile reads and writes while no further file can be opened: what the file holds is not taken for torn, so a
+// ban in it is neither set aside nor written over, and the caller learns that nothing was read.
+func TestNoDescriptorIsNoTornFile(t *testing.T) {
+	for files := range 2 { // none; the lock alone
+		dir := t.TempDir()
+		if _, err := In(dir).Update(context.Background(), ban(t, "db-0")); err != nil {
+			t.Fatal(err)
+		}
+		undo := leave(t, files)
+		_, readErr := In(dir).Read(context.Background())
+		_, updateErr := In(dir).Update(context.Background(), ban(t, "db-1"))
+		undo()
+		if readErr == nil && files == 0 || updateErr == nil {
+			t.Errorf("%d files: read %v, update %v", files, readErr, updateErr)
+		}
+		if _, err := os.Stat(filepath.Join(dir, Aside)); !os.IsNotExist(err) {
+			t.Errorf("%d files: the file was set aside: %v", files, err)
+		}
+		got, err := In(dir).Read(context.Background())
+		if _, out := got.State().Out["db-0"]; err != nil || !out {
+			t.Errorf("%d files: afterwards %+v, %v", files, got.State(), err)
+		}
+	}
+}
