Mend three finds: unknown clusters kept, bans set aside unread, own faults held against hosts

Unknown clusters. Cause: Router.groupOf makes a group for any number a client names, and nothing took it away. A group counts its open requests; of those without members the 64 left last are remembered (a group's search and its share of vain waits outlive a request), older ones are forgotten.

Bans set aside. Cause: record.load wrapped an error of os.Open and of the read as BadFile, as if the file were torn. Now UnreadFile says that nothing is known: the file stays, an update gets an error and no yes, and a process that could not read it as it opened merges with it again until that succeeds, by the writer that tries writes again (TestUnreadFileIsReadAgain; broken: without that the ban did not come back in 20 s). Torn is what was read whole and does not decode.

Cause: host.notOpened told ResultConnectFailed for every error but the host's own refusal. A connect that fails for want of descriptors, memory, local ports or a network here, or of this gateway's own share of descriptors, never ran and says nothing of the host (ResultMoot); the attempt ends 20 ms later, as the next would meet the same fault and a request has only so many attempts. Counter server_connects_failed_here. EHOSTUNREACH, ETIMEDOUT and refusals stay the host's.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -15,6 +15,7 @@
 	"cranegate/internal/handover/record"
 	"cranegate/internal/handover/state"
 	"cranegate/internal/handover/talk"
+	"cranegate/internal/standin"
 	"cranegate/internal/stats"
 )
 
@@ -224,3 +225,44 @@
 		t.Errorf("the hearer wrote %v after the call began (0: never), want it to wait for %v", written, setFor)
 	}
 }
+
+// TestUnreadFileIsReadAgain opens while the state file can't be opened for want of descriptors: that is said, and a ban in the file
+// holds as soon as there are some again.
+func TestUnreadFileIsReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	delta, _, err := state.Registers{}.Reserve(state.Change{Host: "db-0", Out: true}, 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := record.In(dir).Update(context.Background(), delta); err != nil {
+		t.Fatal(err)
+	}
+	undo := func() {}
+	atStep = func(step string) {
+		if undo(); step == "read" {
+			if undo, err = standin.LeaveFiles(0); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	defer func() { atStep = nil }()
+	h, openErr := Open(context.Background(), Options{Dir: dir, Counters: &stats.Counters{}, Apply: func(context.Context, state.State) error { return nil }})
+	undo()
+	if openErr != nil {
+		t.Fatal(openErr)
+	}
+	defer h.Close()
+	if len(h.Doubts()) == 0 || len(h.State().Out) != 0 {
+		t.Errorf("doubts %v, out %v", h.Doubts(), h.State().Out)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	for end := time.Now().Add(20 * time.Second); len(h.State().Out) != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the ban does not come back: %v", h.State().Out)
+		}
+	}
+	cancel()
+	<-ended
+}
--- a/internal/handover/open.go
+++ b/internal/handover/open.go
@@ -72,6 +72,9 @@
 		if err != nil {
 			h.doubt(fmt.Errorf("reading the state file: %w", err))
 		}
+		if unread := (*record.UnreadFile)(nil); errors.As(err, &unread) {
+			h.unwritten = true // Run merges with the file until that succeeds, and so takes what it holds
+		}
 		if _, err := h.adopt(regs); err != nil {
 			h.doubt(err)
 		}
--- a/internal/handover/record/record.go
+++ b/internal/handover/record/record.go
@@ -30,7 +30,7 @@
 	version = 1
 )
 
-// BadFile says that the file could not be used and what that means.
+// BadFile says that the file was read, could not be used and what that means.
 type BadFile struct {
 	Path  string // where it lies now
 	Cause error
@@ -44,7 +44,20 @@
 
 func (e *BadFile) Unwrap() error { return e.Cause }
 
-// What is wrong with a file; BadFile wraps them.
+// UnreadFile says that the file could not be read, which tells nothing of what it holds: it stays as it is.
+type UnreadFile struct {
+	Path  string
+	Cause error
+}
+
+func (e *UnreadFile) Error() string {
+	return fmt.Sprintf("the state file %s could not be read (%v) and was left as it is: hosts taken out by hand and lameduck are known "+
+		"from live processes alone; mend what the system says, and call again where a call got a no", e.Path, e.Cause)
+}
+
+func (e *UnreadFile) Unwrap() error { return e.Cause }
+
+// What is wrong with a file that was read; BadFile wraps them.
 var (
 	ErrTorn    = errors.New("torn, or not JSON of this format")
 	ErrForeign = errors.New("of a version that this program does not know")
@@ -69,7 +82,8 @@
 func In(dir string) *File { return &File{dir: dir, turn: make(chan struct{}, 1)} }
 
 // Read returns what the file holds; a missing one is empty. With a *BadFile the registers are empty, and the file has
-// been set aside, unless the lock could not be had within ctx: then it still stands. Other errors are of the folder.
+// been set aside, unless the lock could not be had within ctx: then it still stands. Other errors, *UnreadFile among them, say
+// nothing of what it holds.
 func (f *File) Read(ctx context.Context) (state.Registers, error) {
 	regs, _, err := f.load()
 	var bad *BadFile
@@ -146,13 +160,15 @@
 		return state.Registers{}, 0, &BadFile{path, fmt.Errorf("%w: not a regular file", ErrTorn)}
 	}
 	r, err := os.Open(path)
-	if err != nil {
-		return state.Registers{}, 0, &BadFile{path, err}
+	if errors.Is(err, fs.ErrNotExist) { // another process has just set it aside
+		return state.Registers{}, 0, nil
+	} else if err != nil {
+		return state.Registers{}, 0, &UnreadFile{path, err}
 	}
 	defer r.Close()
 	text, err := io.ReadAll(io.LimitReader(r, Most+1))
 	if err != nil {
-		return state.Registers{}, 0, &BadFile{path, err}
+		return state.Registers{}, 0, &UnreadFile{path, err}
 	}
 	regs, sequence, err := decode(text)
 	if err != nil {
--- a/internal/handover/record/record_test.go
+++ b/internal/handover/record/record_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"os"
 	"path/filepath"
-	"syscall"
 	"testing"
 
 	"cranegate/internal/handover/state"
+	"cranegate/internal/standin"
 )
 
 // TestNothingToSay: where nothing was ever said no file is made. Its write would hold the lock, on a slow disk for longer
@@ -43,25 +43,6 @@
 	return delta
 }
 
-// leave lets this process open so many files more; the call ends that.
-func leave(t *testing.T, files int) (undo func()) {
-	t.Helper()
-	next, err := os.Open(os.DevNull)
-	if err != nil {
-		t.Fatal(err)
-	}
-	lowest := next.Fd()
-	next.Close()
-	var before syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(lowest) + uint64(files), Max: before.Max}); err != nil {
-		t.Fatal(err)
-	}
-	return func() { syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before) }
-}
-
 // TestNoDescriptorIsNoTornFile reads and writes while no further file can be opened: what the file holds is not taken for torn, so a
 // ban in it is neither set aside nor written over, and the caller learns that nothing was read.
 func TestNoDescriptorIsNoTornFile(t *testing.T) {
@@ -70,7 +51,10 @@
 		if _, err := In(dir).Update(context.Background(), ban(t, "db-0")); err != nil {
 			t.Fatal(err)
 		}
-		undo := leave(t, files)
+		undo, err := standin.LeaveFiles(files)
+		if err != nil {
+			t.Fatal(err)
+		}
 		_, readErr := In(dir).Read(context.Background())
 		_, updateErr := In(dir).Update(context.Background(), ban(t, "db-1"))
 		undo()
--- a/internal/servers/host.go
+++ b/internal/servers/host.go
@@ -273,10 +273,14 @@
 // notOpened takes a connection that did not come up: the oldest attempt has waited for it, unless another one is coming up for
 // that.
 func (h *host) notOpened(err error) {
-	result := rules.ResultConnectFailed
-	if errors.Is(err, ErrTurnedAway) {
+	result, wait := rules.ResultConnectFailed, time.Duration(0)
+	switch {
+	case errors.Is(err, ErrTurnedAway):
 		result = rules.ResultFull
 		h.noRoom()
+	case ownFault(err):
+		result, wait = rules.ResultMoot, ownFaultWait
+		h.pool.opt.Counters.Add("server_connects_failed_here", 1)
 	}
 	h.pool.opt.Counters.Add("server_connects_failed", 1)
 	if now := time.Now(); now.Sub(h.loggedAt) > time.Second { // an outage fails many
@@ -291,7 +295,7 @@
 		h.idle = h.idle[1:]
 		l.give(a)
 	} else if a != nil {
-		h.fail(a, result)
+		h.failAfter(wait, a, result)
 	}
 }
 
@@ -305,10 +309,23 @@
 // fail ends an attempt that was never written. It does not begin: where its time runs out before the core hears of this, it
 // still never ran. The core hears of it from a goroutine of its own, as this actor must not wait for the core, which may be
 // telling it something.
-func (h *host) fail(a *core.Attempt, result rules.Result) {
-	if a.Waiting() {
-		h.pool.group.Go(func() error { a.Done(core.Outcome{Result: result}); return nil })
+func (h *host) fail(a *core.Attempt, result rules.Result) { h.failAfter(0, a, result) }
+
+// failAfter is fail some time later, or as soon as the attempt is given up.
+func (h *host) failAfter(wait time.Duration, a *core.Attempt, result rules.Result) {
+	if !a.Waiting() {
+		return
 	}
+	h.pool.group.Go(func() error {
+		if wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-a.Context().Done():
+			}
+		}
+		a.Done(core.Outcome{Result: result})
+		return nil
+	})
 }
 
 // noRoom notes a new connection that brought nothing but a refusal and its end: the host is short of room for
--- a/internal/servers/link.go
+++ b/internal/servers/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -20,7 +19,7 @@
 	select {
 	case h.pool.slots <- struct{}{}:
 	case <-ctx.Done():
-		h.mailbox <- notOpened{errors.New("no descriptor left for a connection")}
+		h.mailbox <- notOpened{errNoDescriptor}
 		return
 	}
 	defer func() { <-h.pool.slots }()
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -92,6 +92,9 @@
 		}
 	}
 	if len(q.out) == 0 {
+		if r.requests[q.ID] == q {
+			r.leaveGroup(q.group)
+		}
 		delete(r.requests, q.ID)
 	}
 }
--- a/rules/events.go
+++ b/rules/events.go
@@ -46,6 +46,7 @@
 		share = 1 // members do not check: one may have to be asked first
 	}
 	r.probes = min(probeBurst, r.probes+share)
+	q.group.open++
 	r.requests[q.ID], r.open = q, append(r.open, q)
 	r.advance(q)
 	r.setTimer()
--- a/rules/groups_test.go
+++ b/rules/groups_test.go
@@ -18,8 +18,8 @@
 	b.pass(2 * b.r.cfg.longest())
 	b.want("answers to the last", b.refused[last], 1)
 	b.want("open requests", len(b.r.requests), 0)
-	if grown := len(b.r.groups) - known; grown > 64 {
-		t.Errorf("%d groups more than at first, %d may be", grown, 64)
+	if grown := len(b.r.groups) - known; grown > mostEmptyGroups {
+		t.Errorf("%d groups more than at first, %d may be", grown, mostEmptyGroups)
 	}
 	if b.r.groups[1] == nil {
 		t.Error("a group with hosts was forgotten")
--- a/rules/helpers.go
+++ b/rules/helpers.go
@@ -82,12 +82,35 @@
 func (r *Router) groupOf(number int) *group {
 	g := r.groups[number]
 	if g == nil {
-		g = &group{shedTo: make([]time.Duration, len(r.cfg.Classes))}
+		g = &group{number: number, shedTo: make([]time.Duration, len(r.cfg.Classes))}
 		r.groups[number] = g
 	}
 	return g
 }
 
+// mostEmptyGroups bounds the groups without members that are remembered: clients may name any.
+const mostEmptyGroups = 64
+
+// leaveGroup notes that a request of a group is over. The group without members that was left longest ago is
+// forgotten past the bound, unless it has requests or members again.
+func (r *Router) leaveGroup(g *group) {
+	g.open--
+	if g.open > 0 || len(g.members) > 0 || g.empty {
+		return
+	}
+	g.empty = true
+	r.empty = append(r.empty, g)
+	if len(r.empty) <= mostEmptyGroups {
+		return
+	}
+	oldest := r.empty[0]
+	r.empty = slices.Delete(r.empty, 0, 1)
+	oldest.empty = false
+	if oldest.open == 0 && len(oldest.members) == 0 {
+		delete(r.groups, oldest.number)
+	}
+}
+
 // Starts tells when members started that may still be cold, by their ids: as the list has told, or as their silence has
 // shown before the list did.
 func (r *Router) Starts() map[string]time.Duration {
--- a/rules/router.go
+++ b/rules/router.go
@@ -16,6 +16,7 @@
 	members                       map[string]*member
 	sorted                        []*member
 	groups                        map[int]*group
+	empty                         []*group // without members, in the order in which their last requests ended
 	requests                      map[uint64]*request
 	open                          []*request        // in order of arrival
 	usual, work, workAt           []time.Duration   // by class: round trips in the mean, and the work in them
@@ -72,6 +73,8 @@
 
 // group is one primary and its replicas, sorted by id.
 type group struct {
+	number, open       int  // open: requests of it that the module holds
+	empty              bool // it is among the router's empty groups
 	members            []*member
 	next               int             // where the search for the primary goes on
 	seeking            *attempt        // a search attempt that is out
