--- a/cmd/cranelab/soak.go
+++ b/cmd/cranelab/soak.go
@@ -16,6 +16,7 @@
 	Short    bool          `help:"The form that CI plays."`
 	Gateways int           `help:"Gateways of the fleet; 0 for those of the form."`
 	For      time.Duration `help:"How long troubles are drawn for; 0 for the form's time."`
+	Only     []string      `help:"Kinds of troubles that are drawn; all by default, and with a defect those under which it shows."`
 	Keep     string        `type:"path" help:"Folder for the gateways' logs, at level debug."`
 	Defect   string        `help:"A defect put into the gateway on purpose, which the runs should find."`
 	Defects  bool          `help:"All defects, one at a time: the command fails unless each is found."`
@@ -27,7 +28,7 @@
 	switch {
 	case c.List:
 		for _, d := range soak.Defects {
-			fmt.Printf("%s\t%s\n", d.Name, d.File)
+			fmt.Printf("%s\tfound by %v\n", d.Name, d.FoundBy)
 		}
 		return nil
 	case c.Defects:
@@ -58,7 +59,7 @@
 	if c.For > 0 {
 		o.For = c.For
 	}
-	o.Keep = c.Keep
+	o.Keep, o.Only = c.Keep, c.Only
 	return o
 }
 
@@ -70,6 +71,9 @@
 	}
 	defer os.RemoveAll(dir)
 	o := c.options()
+	if defect != nil && len(o.Only) == 0 {
+		o.Only = defect.Only
+	}
 	if o.Program, err = soak.Build(ctx, dir, defect); err != nil {
 		return nil, err
 	}
--- a/internal/clients/accept_test.go
+++ b/internal/clients/accept_test.go
@@ -12,6 +12,8 @@
 
 	"cranegate/internal/clients"
 	"cranegate/internal/clients/postgres"
+	"cranegate/internal/core"
+	"cranegate/internal/invariant"
 	"cranegate/internal/netbuf"
 	"cranegate/internal/pgwire"
 	"cranegate/internal/standin"
@@ -335,3 +337,23 @@
 		far.Close()
 	}
 }
+
+// TestStartGuard runs a server before its core has a list: that is counted as a violation of the rule on starts.
+func TestStartGuard(t *testing.T) {
+	counters := &stats.Counters{}
+	c, err := core.New(core.Options{Rules: testRules, Seed: 1, Counters: counters}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &clients.Server{Name: "early", Front: postgres.Front{}, Core: c, Room: clients.NewRoom(5), Counters: counters,
+		Monitor: &invariant.Monitor{Counters: counters}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopped, stop := context.WithCancel(context.Background())
+	stop()
+	if err := s.Run(stopped, l); err != nil || counters.Get("violations_start") != 1 {
+		t.Errorf("%v, %v", err, counters)
+	}
+}
--- a/internal/soak/build.go
+++ b/internal/soak/build.go
@@ -28,23 +28,38 @@
 }
 
 // Defect is a fault that is put into the gateway on purpose, to see that a run finds it. The source is not touched: the build lays
-// the changed file over it.
+// the changed files over it.
 type Defect struct {
 	Name    string
-	File    string   // below the module's root
-	Old     string   // a text that stands there once,
-	New     string   // and what takes its place
+	Edits   []Edit
 	FoundBy []string // any of these rules
+	Only    []string // the kinds of troubles under which it shows; none: any
 }
 
-// Defects are the guards that are taken out, one at a time.
+// Edit takes something out of a file, or changes it.
+type Edit struct {
+	File string // below the module's root
+	Old  string // a text that stands there once,
+	New  string // and what takes its place
+}
+
+// Defects are guards that are taken out, one at a time, and the two incidents of December 2026.
 var Defects = []Defect{
-	{"sends-to-draining", "rules/attempts.go", "!m.usable, m.group != q.group,", "m.group != q.group,", []string{ruleDrain, ruleDeaf, ruleViolation}},
-	{"close-unheard", "internal/core/core.go", "	q.leave(c)\n	c.post(func() { c.gone(q) })", "", []string{ruleGone, ruleViolation}},
-	{"once-repeated", "rules/attempts.go", "		return min(q.limit, q.ranAt+q.class.KeyTTL)\n	}\n	return 0", "	}\n	return q.limit", []string{ruleTwice, ruleViolation}},
-	{"answer-withheld", "internal/clients/postgres/postgres.go", "	case core.Refused:\n", "	case core.Refused:\n		return errors.New(\"withheld\")\n", []string{ruleLost, ruleTurnedBack, ruleViolation}},
-	{"cold-unheeded", "rules/cold.go", "return m.credit >= 0", "return true", []string{ruleViolation}},
-	{"serves-unready", "cmd/cranegate/gateway.go", "	case <-x.core.Ready():\n", "	case <-func() chan struct{} { c := make(chan struct{}); close(c); return c }():\n", []string{ruleViolation}},
+	{"sends-to-draining", []Edit{{"rules/attempts.go", "!m.usable, m.group != q.group,", "m.group != q.group,"}},
+		[]string{ruleDrain, ruleDeaf, ruleViolation}, nil},
+	{"close-unheard", []Edit{{"internal/core/core.go", "	q.leave(c)\n	c.post(func() { c.gone(q) })", ""},
+		{"internal/core/attempt.go", "!a.Request.leaves(a.core) && ", ""}}, []string{ruleGone}, []string{"leavers", "resets", "bad_answers", "late_connects"}},
+	{"once-repeated", []Edit{{"rules/attempts.go", "		return min(q.limit, q.ranAt+q.class.KeyTTL)\n	}\n	return 0", "	}\n	return q.limit"}},
+		[]string{ruleTwice, ruleViolation}, []string{"resets", "bad_answers", "host_dies"}},
+	{"answer-withheld", []Edit{{"internal/clients/postgres/postgres.go", "	case core.Refused:\n", "	case core.Refused:\n		return errors.New(\"withheld\")\n"}},
+		[]string{ruleLost, ruleTurnedBack, ruleViolation}, nil},
+	{"cold-unheeded", []Edit{{"rules/cold.go", "return m.credit >= 0", "return true"}}, []string{ruleViolation}, nil},
+	{"ban-forgotten", []Edit{{"internal/handover/record/record.go", "	return regs, sequence, nil\n", "	regs = state.Registers{}\n	return regs, sequence, nil\n"}},
+		[]string{ruleBan}, []string{"ban", "kill", "resets"}},
+	{"log-waits", []Edit{{"cmd/cranegate/main.go", "logging.New(logs, ", "logging.New(os.Stderr, "}}, []string{ruleStuck, ruleExit, ruleDeaf, ruleDrain},
+		[]string{"log_stops", "discovery", "drain"}},
+	{"passes-to-itself", []Edit{{"internal/handover/pass/pass.go", "if own.isAt(at(dir, socket)) {", "if false {"}}, []string{ruleLate, ruleLost, ruleStuck},
+		[]string{"upgrade", "descriptors", "rolling_restart"}},
 }
 
 // FindDefect finds a defect by its name.
@@ -59,25 +74,22 @@
 	return nil, fmt.Errorf("no defect is called %q; there are %s", name, strings.Join(names, ", "))
 }
 
-// overlay writes the changed file and the description that the build takes.
+// overlay writes the changed files and the description that the build takes.
 func (d *Defect) overlay(ctx context.Context, dir string) (string, error) {
 	out, err := exec.CommandContext(ctx, "go", "list", "-m", "-f", "{{.Dir}}").Output()
 	if err != nil {
 		return "", fmt.Errorf("finding the module's root: %w", err)
 	}
-	path := filepath.Join(strings.TrimSpace(string(out)), d.File)
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return "", fmt.Errorf("reading what the defect %s changes: %w", d.Name, err)
-	}
-	if n := strings.Count(string(text), d.Old); n != 1 {
-		return "", fmt.Errorf("the defect %s wants to change a text in %s that stands there %d times, not once", d.Name, d.File, n)
-	}
-	changed := filepath.Join(dir, "defect.go")
-	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), d.Old, d.New, 1)), 0o600); err != nil {
-		return "", fmt.Errorf("writing the defect %s: %w", d.Name, err)
+	replace := map[string]string{}
+	for i, e := range d.Edits {
+		path := filepath.Join(strings.TrimSpace(string(out)), e.File)
+		changed := filepath.Join(dir, fmt.Sprintf("defect%d.go", i))
+		if err := e.write(path, changed); err != nil {
+			return "", fmt.Errorf("the defect %s: %w", d.Name, err)
+		}
+		replace[path] = changed
 	}
-	description, err := json.Marshal(map[string]map[string]string{"Replace": {path: changed}})
+	description, err := json.Marshal(map[string]map[string]string{"Replace": replace})
 	if err != nil {
 		return "", err
 	}
@@ -85,6 +97,18 @@
 	return overlay, os.WriteFile(overlay, description, 0o600)
 }
 
+// write writes the changed file.
+func (e Edit) write(path, changed string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if n := strings.Count(string(text), e.Old); n != 1 {
+		return fmt.Errorf("%q stands %d times in %s, not once: bring the edit up to date", e.Old, n, e.File)
+	}
+	return os.WriteFile(changed, []byte(strings.Replace(string(text), e.Old, e.New, 1)), 0o600)
+}
+
 // Found says whether a run's findings show the defect.
 func (d *Defect) Found(found []Finding) bool {
 	for _, f := range found {
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	patientPause = 15 * time.Millisecond // the mean between an answer and the next request
+	patientPause = 10 * time.Millisecond // the mean between an answer and the next request
 	connectFor   = 25 * time.Second      // whoever comes to a process that starts waits
 	hungFor      = 5 * time.Second       // past the time for its answer a request is given up
 	againAfter   = 20 * time.Millisecond // after a connection that failed
@@ -40,9 +40,14 @@
 
 // newRequest draws a request.
 func (c *client) newRequest() (*request, string) {
-	class := []string{classRead, classRead, classSession, classOnce, classKeyed}[c.rng.IntN(5)]
+	return c.requestOf(c.rng.IntN(c.site.opt.Groups))
+}
+
+// requestOf draws a request of a group.
+func (c *client) requestOf(group int) (*request, string) {
+	class := []string{classRead, classRead, classSession, classOnce, classOnce, classKeyed}[c.rng.IntN(6)]
 	wait := []time.Duration{2 * time.Second, 2 * time.Second, 600 * time.Millisecond, 120 * time.Millisecond}[c.rng.IntN(4)]
-	return c.request(class, c.rng.IntN(c.site.opt.Groups), wait)
+	return c.request(class, group, wait)
 }
 
 // request makes a request, and its statement.
@@ -148,13 +153,13 @@
 	return func() { cancel(); group.Wait() }
 }
 
-// leaves asks and closes some time later, whatever has come back.
-func (c *client) leaves(after time.Duration) {
+// leaves asks a group and closes some time later, whatever has come back.
+func (c *client) leaves(group int, after time.Duration) {
 	defer c.drop()
 	if !c.connect() {
 		return
 	}
-	r, text := c.newRequest()
+	r, text := c.requestOf(group)
 	r.sent = time.Now()
 	c.site.judge.ask(r)
 	c.conn.Write(pgwire.Append(nil, 'Q', text, "\x00"))
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -31,7 +31,7 @@
 }
 
 const (
-	workFor  = 4 * time.Millisecond // a statement takes it so long
+	workFor  = 10 * time.Millisecond // a statement takes it so long
 	hangLook = 5 * time.Millisecond
 	hangMost = 6 * time.Second
 )
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -118,7 +118,7 @@
 func (p *process) collect() {
 	lines := bufio.NewReader(p.pipe)
 	for {
-		for p.paused.Load() {
+		for p.paused.Load() && p.gateway.site.ctx.Err() == nil {
 			time.Sleep(collectGap)
 		}
 		line, err := lines.ReadString('\n')
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,12 +28,13 @@
 	Replicas int // hosts of a group beside its primary
 	Clients  int // patient clients of each gateway
 	For      time.Duration
-	Keep     string // a folder for the gateways' logs; empty: they are dropped
+	Only     []string // the kinds of troubles that are drawn; none: all
+	Keep     string   // a folder for the gateways' logs; empty: they are dropped
 }
 
 // Short is the form for CI, and Long the one for a command: a few dozen processes.
 var (
-	Short = Options{Gateways: 6, Groups: 2, Replicas: 2, Clients: 2, For: 8 * time.Second}
+	Short = Options{Gateways: 6, Groups: 2, Replicas: 2, Clients: 3, For: 8 * time.Second}
 	Long  = Options{Gateways: 24, Groups: 3, Replicas: 2, Clients: 2, For: 30 * time.Second}
 )
 
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -56,17 +57,26 @@
 // knot begins two or three troubles at one gateway and one host.
 func (s *site) knot(rng *rand.Rand, group *sync.WaitGroup) {
 	g, h := s.gateways[rng.IntN(len(s.gateways))], s.hosts[rng.IntN(len(s.hosts))]
-	for _, i := range rng.Perm(len(troubles))[:2+rng.IntN(2)] {
+	drawn := s.drawn()
+	for _, i := range rng.Perm(len(drawn))[:min(len(drawn), 2+rng.IntN(2))] {
 		after := time.Duration(rng.Int64N(int64(knotSpread)))
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		group.Go(func() {
 			time.Sleep(after)
-			s.count(troubles[i].kind)
-			troubles[i].play(s, g, h, own)
+			s.count(drawn[i].kind)
+			drawn[i].play(s, g, h, own)
 		})
 	}
 }
 
+// drawn are the troubles that the run draws from.
+func (s *site) drawn() []trouble {
+	if len(s.opt.Only) == 0 {
+		return troubles
+	}
+	return slices.DeleteFunc(slices.Clone(troubles), func(t trouble) bool { return !slices.Contains(s.opt.Only, t.kind) })
+}
+
 // between draws a time.
 func between(rng *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(rng.Int64N(int64(most-least)))
@@ -257,7 +267,7 @@
 
 // resets resets a gateway's connections to a host, several times in a row.
 func resets(s *site, g *gateway, h *host, rng *rand.Rand) {
-	for range 1 + rng.IntN(5) {
+	for range 3 + rng.IntN(10) {
 		wait := between(rng, 10*time.Millisecond, 200*time.Millisecond)
 		g.proxies[h.uid].resetAll()
 		time.Sleep(wait)
@@ -277,9 +287,10 @@
 	h.act.Store(int32(standin.Serve))
 }
 
-// ban takes a host out by hand, whatever becomes of the process meanwhile, and calls it back.
+// ban takes a host out by hand, whatever becomes of the process meanwhile, and calls it back. Some of the processes are killed
+// right behind their yes.
 func ban(s *site, g *gateway, h *host, rng *rand.Rand) {
-	lasts := between(rng, 500*time.Millisecond, 6*time.Second)
+	lasts, kills := between(rng, time.Second, 6*time.Second), rng.IntN(3) == 0
 	release, ok := g.ban(h)
 	if !ok {
 		return
@@ -290,6 +301,9 @@
 		return
 	}
 	end := s.judge.withdraw(h, 0, g)
+	if kills {
+		killAndStart(s, g, h, rng)
+	}
 	time.Sleep(lasts)
 	end()
 	g.attach(s, h)
@@ -330,17 +344,19 @@
 	end()
 }
 
-// logStops has the collector of a process's log stop reading for a time, and logEnds has it end.
+// logStops has the collector of a process's log stop reading for a time or for good, and logEnds has it end.
 func logStops(s *site, g *gateway, _ *host, rng *rand.Rand) {
-	lasts := between(rng, time.Second, 5*time.Second)
+	lasts, forGood := between(rng, time.Second, 5*time.Second), rng.IntN(2) == 0
 	p := g.current()
 	p.paused.Store(true)
 	for range 30 { // lines enough to fill the pipe
 		p.signal(syscall.SIGUSR1)
 		time.Sleep(againAfter / 4)
 	}
-	time.Sleep(lasts)
-	p.paused.Store(false)
+	if !forGood {
+		time.Sleep(lasts)
+		p.paused.Store(false)
+	}
 }
 
 func logEnds(s *site, g *gateway, _ *host, _ *rand.Rand) {
@@ -372,8 +388,12 @@
 	group.Wait()
 }
 
-func leavers(s *site, g *gateway, _ *host, rng *rand.Rand) {
-	s.crowd(g, rng, 20, func(c *client) { c.leaves(between(c.rng, 0, 80*time.Millisecond)) })
+func leavers(s *site, g *gateway, h *host, rng *rand.Rand) {
+	s.crowd(g, rng, 10, func(c *client) {
+		for range 20 {
+			c.leaves(h.group, between(c.rng, 0, 100*time.Millisecond))
+		}
+	})
 }
 
 func halfMessages(s *site, g *gateway, _ *host, rng *rand.Rand) {
