Add a failing test of a newer process that serves as the old one's listener closes

Measured: the test fails, 10 s without an answer while the listener hangs. A first form in a synctest bubble did not end, as a goroutine that waits for a mutex keeps the bubble's clock; it was stopped by go test after 600 s, with Retire waiting in sync.Once under the server's lock on its stack.

--- a/internal/clients/takeover_test.go
+++ b/internal/clients/takeover_test.go
@@ -1,19 +1,24 @@
 package clients_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"cranegate/internal/clients"
 	"cranegate/internal/clients/postgres"
+	"cranegate/internal/netbuf"
 	"cranegate/internal/pgwire"
 	"cranegate/internal/standin"
+	"cranegate/internal/stats"
 )
 
 // TestTakenOverClientsFitTheRoom has another process pass on three times as many idle clients as there are places, with one
@@ -68,3 +73,49 @@
 		return nil
 	})
 }
+
+// hungListener is a listener that hangs in the kernel, as one does whose socket another process has set to blocking.
+type hungListener struct {
+	closing chan struct{} // takes one as its close begins
+	free    chan struct{} // closed as it hangs no more
+}
+
+func (l hungListener) Accept() (net.Conn, error)   { <-l.free; return nil, net.ErrClosed }
+func (l hungListener) Close() error                { <-l.free; return nil }
+func (l hungListener) Addr() net.Addr              { return &net.TCPAddr{} }
+func (l hungListener) File() (*os.File, error)     { return os.Open(os.DevNull) }
+func (l hungListener) SetDeadline(time.Time) error { l.closing <- struct{}{}; <-l.free; return nil }
+
+// TestNewerServesWhileTheListenerCloses has a newer process take the clients over while this one, which ends, waits for its listener
+// to close: who has a connection here is answered meanwhile.
+func TestNewerServesWhileTheListenerCloses(t *testing.T) {
+	rig := newRig(false, &standin.Host{Primary: true})
+	defer rig.close()
+	s := &clients.Server{Name: "ends", Front: postgres.Front{}, Core: rig.core, Room: clients.NewRoom(50),
+		Budget: netbuf.NewBudget(rigBudget), Counters: &stats.Counters{}, Shared: true}
+	l := hungListener{closing: make(chan struct{}, 10), free: make(chan struct{})}
+	stopped, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(stopped, l) }()
+	near, far := loopback(t)
+	if !s.TakeOver(far, true, false) {
+		t.Fatal("it is not taken over")
+	}
+	stop()
+	<-l.closing
+	retired := make(chan struct{})
+	go func() { s.Retire(); close(retired) }()
+	time.Sleep(50 * time.Millisecond)
+	near.SetDeadline(time.Now().Add(10 * time.Second))
+	c := &standin.PostgresClient{Conn: netbuf.New(near, pgwire.MaxMessage)}
+	if r, err := c.Ask(fmt.Sprintf(look, "meanwhile")); err != nil || r.Outcome != "served" {
+		t.Errorf("%+v, %v", r, err)
+	}
+	near.Close()
+	close(l.free)
+	<-retired
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
