Serve on while a listener that is being closed hangs

Cause: Server.Retire holds the server's lock and calls intake.abandon, whose sync.Once waits for a close that has begun; the close of a listener that hangs in the kernel takes 0.9 s. Ask takes that lock for each request's id, before and after, so that every client of the process waited for as long, also for answers that were there. It needs a SIGTERM and a newer process that serves 0.5 to 1.4 s later.

Change: the abandoning runs beside. Whoever waits for the end of the listener waits for its channel, as before.

The same mistake elsewhere: Resume and Run wait for that channel without the lock; the other close runs in a goroutine of its own.

--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -236,7 +236,7 @@
 			slog.Warn("listener_not_kept", "front", s.Name, "error", err)
 		}
 		s.kept = f
-		s.intake.abandon()
+		go s.intake.abandon() // it may wait for a close that has begun, which must hold nobody up
 		return
 	}
 	go s.intake.close()
