--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -1,20 +1,15 @@
 package soak
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"cranegate/internal/standin"
 )
 
 // trouble is one kind of trouble at a gateway and a host. Play draws its figures first, so that a seed gives the same ones.
@@ -167,126 +162,6 @@
 	}
 }
 
-// discoveryFault has discovery fail beside a gateway, or beside all.
-func discoveryFault(s *site, g *gateway, _ *host, rng *rand.Rand) {
-	fault, lasts := agentFault(1+rng.IntN(3)), between(rng, 300*time.Millisecond, 5*time.Second)
-	all := []*gateway{g}
-	if rng.IntN(3) == 0 {
-		all = s.gateways
-	}
-	for _, g := range all {
-		defer g.unreachable()()
-		for _, a := range g.agents {
-			a.fault.Store(int32(fault))
-			defer a.fault.Store(int32(agentGood))
-		}
-	}
-	time.Sleep(lasts)
-}
-
-// drain has discovery list a host as draining, then not at all; it returns as a new process.
-func drain(s *site, _ *gateway, h *host, rng *rand.Rand) {
-	drains, away := between(rng, time.Second, 8*time.Second), between(rng, 200*time.Millisecond, time.Second)
-	if !h.take() {
-		return
-	}
-	defer h.release()
-	h.list("DRAINING", h.boot())
-	end := s.judge.withdraw(h, s.directory.set(s.targets()), nil)
-	time.Sleep(drains)
-	h.list("", 0)
-	s.directory.set(s.targets())
-	s.setDown(h, true)
-	time.Sleep(away)
-	end()
-	s.setDown(h, false)
-	h.list("SERVING", time.Now().UnixMilli())
-	s.directory.set(s.targets())
-}
-
-// setDown ends a host's process, or starts it.
-func (s *site) setDown(h *host, down bool) {
-	h.down.Store(down)
-	if down {
-		s.eachProxy(h, (*proxy).resetAll)
-	}
-}
-
-// eachProxy does something to all ways to a host.
-func (s *site) eachProxy(h *host, do func(p *proxy)) {
-	for _, g := range s.gateways {
-		do(g.proxies[h.uid])
-	}
-}
-
-// hang has a host accept and answer nothing.
-func hang(s *site, _ *gateway, h *host, rng *rand.Rand) {
-	lasts := between(rng, 300*time.Millisecond, 3*time.Second)
-	if !h.take() {
-		return
-	}
-	defer h.release()
-	h.hang.Store(true)
-	time.Sleep(lasts)
-	h.hang.Store(false)
-}
-
-// hostDies kills a host's process, which starts anew some time later.
-func hostDies(s *site, _ *gateway, h *host, rng *rand.Rand) {
-	lasts := between(rng, 200*time.Millisecond, 3*time.Second)
-	if !h.take() {
-		return
-	}
-	defer h.release()
-	s.setDown(h, true)
-	time.Sleep(lasts)
-	s.setDown(h, false)
-	h.list("SERVING", time.Now().UnixMilli())
-	s.directory.set(s.targets())
-}
-
-// lateConnects has connections to a host come up late.
-func lateConnects(s *site, _ *gateway, h *host, rng *rand.Rand) {
-	late, lasts := between(rng, 50*time.Millisecond, 1500*time.Millisecond), between(rng, 500*time.Millisecond, 3*time.Second)
-	s.eachProxy(h, func(p *proxy) { p.setLate(late) })
-	time.Sleep(lasts)
-	s.eachProxy(h, func(p *proxy) { p.setLate(0) })
-}
-
-// stall has nothing pass between a gateway and a host, or between all and it.
-func stall(s *site, g *gateway, h *host, rng *rand.Rand) {
-	lasts := between(rng, 100*time.Millisecond, 3*time.Second)
-	each := func(do func(p *proxy)) { do(g.proxies[h.uid]) }
-	if rng.IntN(2) == 0 {
-		each = func(do func(p *proxy)) { s.eachProxy(h, do) }
-	}
-	each(func(p *proxy) { p.setStalled(true) })
-	time.Sleep(lasts)
-	each(func(p *proxy) { p.setStalled(false) })
-}
-
-// resets resets a gateway's connections to a host, several times in a row.
-func resets(s *site, g *gateway, h *host, rng *rand.Rand) {
-	for range 3 + rng.IntN(10) {
-		wait := between(rng, 10*time.Millisecond, 200*time.Millisecond)
-		g.proxies[h.uid].resetAll()
-		time.Sleep(wait)
-	}
-}
-
-// badAnswers has a host answer otherwise than it should.
-func badAnswers(s *site, _ *gateway, h *host, rng *rand.Rand) {
-	acts := []standin.Act{standin.Miss, standin.Full, standin.Error, standin.Reset, standin.Silent, standin.NoRoom}
-	act, lasts := acts[rng.IntN(len(acts))], between(rng, 100*time.Millisecond, 1500*time.Millisecond)
-	if !h.take() {
-		return
-	}
-	defer h.release()
-	h.act.Store(int32(act))
-	time.Sleep(lasts)
-	h.act.Store(int32(standin.Serve))
-}
-
 // ban takes a host out by hand, whatever becomes of the process meanwhile, and calls it back. Some of the processes are killed
 // right behind their yes.
 func ban(s *site, g *gateway, h *host, rng *rand.Rand) {
@@ -377,36 +252,3 @@
 	time.Sleep(lasts)
 	unix.Prlimit(pid, unix.RLIMIT_FSIZE, &old, nil)
 }
-
-// crowd plays some clients of a kind at a gateway, side by side.
-func (s *site) crowd(g *gateway, rng *rand.Rand, n int, play func(c *client)) {
-	var group sync.WaitGroup
-	for range n {
-		c := &client{site: s, gateway: g, rng: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))}
-		group.Go(func() { play(c) })
-	}
-	group.Wait()
-}
-
-func leavers(s *site, g *gateway, h *host, rng *rand.Rand) {
-	s.crowd(g, rng, 10, func(c *client) {
-		for range 20 {
-			c.leaves(h.group, between(c.rng, 0, 100*time.Millisecond))
-		}
-	})
-}
-
-func halfMessages(s *site, g *gateway, _ *host, rng *rand.Rand) {
-	s.crowd(g, rng, 4, func(c *client) { c.stopsHalfway(c.rng.IntN(2) == 0) })
-}
-
-func babble(s *site, g *gateway, _ *host, rng *rand.Rand) { s.crowd(g, rng, 5, (*client).babbles) }
-
-func pipelines(s *site, g *gateway, _ *host, rng *rand.Rand) {
-	s.crowd(g, rng, 3, func(c *client) { c.pipelines(2 + c.rng.IntN(5)) })
-}
-
-// asTimeout says whether an error is that of a deadline.
-func asTimeout(err error, as *net.Error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, as) && (*as).Timeout()
-}
