End the process that TestReloadOfZones starts by hand

Cause: the test starts its second process without the rig's cleanup. Seen: one process left half an hour after a run.

Change: the rig's launch starts it, which ends it and looks for violations. What the test checks is unchanged.

--- a/cmd/cranegate/main_test.go
+++ b/cmd/cranegate/main_test.go
@@ -342,10 +342,7 @@
 			w.out = &output{}
 			w.cmd = exec.Command(program, "-operator", path)
 			w.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+w.path)
-			w.cmd.Stdout, w.cmd.Stderr = w.out, w.out
-			if err := w.cmd.Start(); err != nil {
-				t.Fatal(err)
-			}
+			w.launch(w.cmd)
 			w.until("serving", func() bool { return strings.Contains(w.out.String(), "event=serving") })
 		}
 		put("[zones]\noverprovision = 0.5\n")
