Have the soak signal only processes that serve

Cause: the soak sent SIGUSR1 to a process that it had started just before; until a program's runtime has set its handlers the system's default holds, which ends it. The gateway itself listens to SIGHUP and SIGTERM first thing, and Go passes over SIGUSR1 from its start on; nothing there can close the window before that.

Measured: no code of the gateway is touched.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -189,6 +189,14 @@
 
 func (p *process) signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
 
+// tell sends a signal that the program handles, once it has said that it serves: before its runtime is up the system's default holds,
+// which ends any process.
+func (p *process) tell(s syscall.Signal) {
+	if p.serves.Load() {
+		p.signal(s)
+	}
+}
+
 // kill ends the process at once.
 func (p *process) kill() {
 	p.expected.Store(true)
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -155,8 +155,8 @@
 		g.watched = 1 - g.watched
 		err := g.configure()
 		g.mu.Unlock()
-		if p := g.current(); err == nil && p.lives() && p.serves.Load() { // before it listens to signals one would end it
-			p.signal(syscall.SIGHUP)
+		if p := g.current(); err == nil && p.lives() {
+			p.tell(syscall.SIGHUP)
 		}
 		time.Sleep(wait)
 	}
@@ -225,7 +225,7 @@
 	p := g.current()
 	p.paused.Store(true)
 	for range 30 { // lines enough to fill the pipe
-		p.signal(syscall.SIGUSR1)
+		p.tell(syscall.SIGUSR1)
 		time.Sleep(againAfter / 4)
 	}
 	if !forGood {
@@ -237,7 +237,7 @@
 func logEnds(s *site, g *gateway, _ *host, _ *rand.Rand) {
 	p := g.current()
 	p.pipe.Close()
-	p.signal(syscall.SIGUSR1)
+	p.tell(syscall.SIGUSR1)
 }
 
 // fileSize bounds the files that a process may write at nothing: writes of its state fail.
