Have the soak read violations from counters too, and drop a type that nothing used

The soak took violations from logs alone, and on half of its plays a log is read by nobody: each process that lives at the end is asked for its counters now. TestSoakFindsDefect said that a defect is seen from outside and by the guards, and held for either alone: it wants both. logging.Limiter was used nowhere.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,7 +7,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"time"
 )
 
 // LevelVariable is the environment variable that names the least level that is logged: debug, info, warn or error.
@@ -55,17 +54,3 @@
 	}
 	return a
 }
-
-// Limiter lets one line of a kind through in an interval: an outage fails many. Its zero value is ready; one goroutine at a time
-// may use it.
-type Limiter struct{ last time.Time }
-
-// Allow says whether a line may be written now, and counts it as written.
-func (l *Limiter) Allow(every time.Duration) bool {
-	now := time.Now()
-	if now.Sub(l.last) <= every {
-		return false
-	}
-	l.last = now
-	return true
-}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -155,20 +154,38 @@
 
 // call makes a call at the second address.
 func (p *process) call(ctx context.Context, method, path string) (status int, err error) {
+	status, _, err = p.ask(ctx, method, path)
+	return status, err
+}
+
+// ask makes a call at the second address, and returns what it says.
+func (p *process) ask(ctx context.Context, method, path string) (status int, text string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+p.admin+path, nil)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	a, err := client.Do(q)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer a.Body.Close()
-	_, err = io.Copy(&bytes.Buffer{}, a.Body)
-	return a.StatusCode, err
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err
+}
+
+// checkCounters looks whether the process has counted violations: its log may have been read by nobody.
+func (p *process) checkCounters() {
+	_, text, err := p.ask(p.gateway.site.ctx, http.MethodGet, "/counters")
+	if err != nil || !strings.Contains(text, "requests=") {
+		p.gateway.site.judge.find(Finding{Rule: ruleStuck, Where: p.String(), Detail: fmt.Sprintf("its counters can't be read: %v", err)})
+	}
+	if n := strings.Index(text, "\nviolations="); n >= 0 {
+		line, _, _ := strings.Cut(text[n+1:], "\n")
+		p.gateway.site.judge.find(Finding{Rule: ruleViolation, Where: p.String(), Detail: "counted: " + line})
+	}
 }
 
 // ready waits until the process serves. False: it does not in time, or has ended.
@@ -248,7 +265,10 @@
 		g.sendsAway()
 		for _, p := range g.all() {
 			if p.lives() {
-				group.Go(p.term)
+				group.Go(func() {
+					p.checkCounters()
+					p.term()
+				})
 			}
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"testing"
 	"time"
 )
@@ -42,9 +43,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	found := play(t, 21, Short.For/2, defect)
-	if !defect.Found(found) {
-		t.Errorf("the defect was not found: %v", found)
+	rules := Rules(play(t, 21, Short.For/2, defect))
+	if !slices.Contains(rules, ruleViolation) || !slices.Contains(rules, ruleDrain) && !slices.Contains(rules, ruleDeaf) {
+		t.Errorf("the defect was not found from outside and by the gateways: %v", rules)
 	}
 }
 
