--- a/review/_standins/foreign.go
+++ b/review/_standins/foreign.go
@@ -11,8 +11,10 @@
 const (
 	foreignClients  = 36
 	foreignThink    = 30 * time.Millisecond // a client's longest pause between two requests
-	foreignDuration = 30 * time.Second
-	foreignShare    = 0.05                   // of the answers are followed by a second copy
+	foreignDuration = 40 * time.Second
+	foreignMost     = 12                     // statements that a host takes at once; it turns others away
+	foreignWait     = 100 * time.Millisecond // a client that is refused waits so long
+	foreignShare    = 0.1                    // of the answers are followed by a second copy
 	foreignBehind   = 500 * time.Microsecond // from an answer to its second copy
 	foreignOneWay   = 600 * time.Microsecond // between the gateway's data centre and the hosts'
 )
@@ -21,22 +23,23 @@
 type foreignTally struct {
 	mu        sync.Mutex
 	outcomes  map[string]int
-	foreign   int // answers with another request's value
-	copies    int // second copies sent
-	heldBacks int // second copies not sent, as something waited on the connection
+	zusagen   map[string]string // outcomes by id
+	foreign   int               // answers with another request's value
+	copies    int               // second copies sent
+	heldBacks int               // second copies not sent, as something waited on the connection
 }
 
 // foreign has database hosts send a second copy of some answers right behind them, when nothing else waits on the connection. Each
 // client that is served has to get the value that a host made for its request.
 func foreign(rec *record, root string, disturbed bool) (bool, error) {
-	tally := &foreignTally{outcomes: map[string]int{}}
+	tally := &foreignTally{outcomes: map[string]int{}, zusagen: map[string]string{}}
 	var hosts []*host
 	for _, uid := range []string{"db-0", "db-1", "db-2"} {
 		hosts = append(hosts, &host{
-			uid: uid, delay: foreignOneWay, handshake: 6 * time.Millisecond,
+			uid: uid, delay: foreignOneWay, handshake: 6 * time.Millisecond, most: foreignMost,
 			work: func(*query) time.Duration { return 87*time.Millisecond + rand.N(63*time.Millisecond) },
 			answer: func(h *host, q *query) bool {
-				answer := h.served(q)
+				answer := h.message(q)
 				if _, err := q.conn.Write(answer); err != nil {
 					return false
 				}
@@ -74,9 +77,26 @@
 	for _, h := range hosts {
 		rec.say("%s had up to %d connections at once", h.uid, h.peak.Load())
 	}
-	rec.say("%.0f requests a second, outcomes %v; second copies sent %d, held back %d; clients that got another request's value: %d",
-		float64(requests)/foreignDuration.Seconds(), tally.outcomes, tally.copies, tally.heldBacks, tally.foreign)
-	return tally.foreign > 0, d.checkAlive()
+	twice, unrun := 0, 0
+	for id, outcome := range tally.zusagen {
+		runs := 0
+		for _, h := range hosts {
+			runs += h.ran(id)
+		}
+		if runs > 1 {
+			twice++
+			rec.say("zusage id=%s was begun %d times; its client was told: %s", id, runs, outcome)
+		}
+		if runs == 0 && outcome == "served" {
+			unrun++
+			rec.say("zusage id=%s was never begun; its client was told: %s", id, outcome)
+		}
+	}
+	rec.say("%.0f requests a second, outcomes %v; second copies sent %d, held back %d", float64(requests)/foreignDuration.Seconds(),
+		tally.outcomes, tally.copies, tally.heldBacks)
+	rec.say("clients that got another request's value: %d; zusagen: %d, begun twice %d, served and never begun %d",
+		tally.foreign, len(tally.zusagen), twice, unrun)
+	return tally.foreign+twice+unrun > 0, d.checkAlive()
 }
 
 // sendCopy sends an answer again, unless something waits on the connection. It returns false if the connection has ended.
@@ -107,11 +127,17 @@
 		r := c.read()
 		t.mu.Lock()
 		t.outcomes[r.outcome]++
+		if class == "zusage" {
+			t.zusagen[id] = r.outcome
+		}
 		if r.outcome == "served" && r.value != valueOf(id) {
 			t.foreign++
 			rec.add("client", "FOREIGN: asked id=%s c=%s and was %v", id, class, r)
 		}
 		t.mu.Unlock()
+		if r.outcome == "refused" {
+			time.Sleep(foreignWait)
+		}
 		if r.err != nil {
 			rec.add("client", "id=%s: %v", id, r)
 			return
--- a/review/_standins/host.go
+++ b/review/_standins/host.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,7 +14,7 @@
 // query is one statement of a client, as a database host received it.
 type query struct {
 	id, class, text string
-	at              time.Time // when its last byte had come
+	refused         bool // the queue is full
 	conn            *hostConn
 }
 
@@ -25,11 +26,16 @@
 	delay     time.Duration // one way, between the host and the gateway
 	handshake time.Duration // what a new connection takes
 	lag       time.Duration // how far it is behind the primary
+	most      int           // statements in hand; more are turned away; 0: no bound
 	work      func(q *query) time.Duration
-	// answer answers a statement after its work; nil: the value of the request. It returns false to end the connection.
+	// answer answers a statement after its work, or one that is turned away. It returns false to end the connection. nil: only the value
+	// of the request, or the refusal.
 	answer func(h *host, q *query) bool
 
 	listener net.Listener
+	mu       sync.Mutex
+	runs     map[string]int // by request
+	inHand   atomic.Int32
 	conns    atomic.Int32
 	peak     atomic.Int32
 }
@@ -48,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	h.listener = l
+	h.listener, h.runs = l, map[string]int{}
 	go func() {
 		for n := 0; ; n++ {
 			c, err := l.Accept()
@@ -110,7 +116,7 @@
 		_, err := c.Write(appendReady(appendRow(nil, "1")))
 		return err == nil
 	}
-	q := &query{id: commentField(text, "id"), class: commentField(text, "c"), text: text, at: time.Now(), conn: c}
+	q := &query{id: commentField(text, "id"), class: commentField(text, "c"), text: text, conn: c}
 	if q.id == "" {
 		h.record.add(h.uid, "statement without an id: %.80q", text)
 		c.Write(appendReady(appendError(nil, "08P01", "no id")))
@@ -120,24 +126,52 @@
 		_, err := c.Write(h.end(appendError(nil, "25006", "not the primary")))
 		return err == nil
 	}
+	if h.most > 0 {
+		defer h.inHand.Add(-1)
+		q.refused = h.inHand.Add(1) > int32(h.most)
+	}
+	if q.refused {
+		h.record.add(h.uid, "turns away id=%s c=%s conn=%d", q.id, q.class, c.number)
+		return h.reply(q)
+	}
+	h.mu.Lock()
+	h.runs[q.id]++
+	h.mu.Unlock()
 	h.record.add(h.uid, "begins id=%s c=%s d=%s conn=%d", q.id, q.class, commentField(text, "d"), c.number)
 	if h.work != nil {
 		time.Sleep(h.work(q))
 	}
+	return h.reply(q)
+}
+
+// reply answers a statement. It returns false to end the connection.
+func (h *host) reply(q *query) bool {
 	if h.answer != nil {
 		return h.answer(h, q)
 	}
-	_, err := c.Write(h.served(q))
-	h.record.add(h.uid, "answers id=%s", q.id)
+	_, err := q.conn.Write(h.message(q))
+	h.record.add(h.uid, "answers id=%s conn=%d", q.id, q.conn.number)
 	return err == nil
 }
 
+// message is the good answer to a statement: its value, or the refusal.
+func (h *host) message(q *query) []byte {
+	if q.refused {
+		return h.end(appendError(nil, "53300", "queue full"))
+	}
+	return h.end(appendRow(nil, valueOf(q.id)))
+}
+
+// ran returns how often a request was begun here.
+func (h *host) ran(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runs[id]
+}
+
 // valueOf is the value that a host makes for a request.
 func valueOf(id string) string { return "value made for " + id }
 
-// served is a good answer.
-func (h *host) served(q *query) []byte { return h.end(appendRow(nil, valueOf(q.id))) }
-
 // end appends what follows a result or an error.
 func (h *host) end(b []byte) []byte {
 	role := "standby"
