--- a/review/_standins/host.go
+++ b/review/_standins/host.go
@@ -27,6 +27,7 @@
 	handshake time.Duration // what a new connection takes
 	lag       time.Duration // how far it is behind the primary
 	most      int           // statements in hand; more are turned away; 0: no bound
+	full      func() bool   // whether all statements are turned away; may be nil
 	work      func(q *query) time.Duration
 	// answer answers a statement after its work, or one that is turned away. It returns false to end the connection. nil: only the value
 	// of the request, or the refusal.
@@ -130,6 +131,9 @@
 		defer h.inHand.Add(-1)
 		q.refused = h.inHand.Add(1) > int32(h.most)
 	}
+	if h.full != nil && h.full() {
+		q.refused = true
+	}
 	if q.refused {
 		h.record.add(h.uid, "turns away id=%s c=%s conn=%d", q.id, q.class, c.number)
 		return h.reply(q)
