Leave every connection to a host unused for 0.1 s behind an answer

Cause: neither protocol ties an answer to its statement. The rest of 0.1 s that keeps a second copy of an answer apart from the next one was given up with 12 connections to a host, with no descriptor left, for an attempt that had waited 10 ms for its own connect or whose connect had failed, and for health checks of the oldest connection. MySQL wrote an execute right behind a prepare's answer, and a prepare behind the error of a host that had forgotten the statement. The look before a write sees what has arrived, not what is on its way.

Change: pooledConn.reusable alone decides, whatever the connections and descriptors; a connection that has carried no statement needs no rest. Attempts that find none open one; those whose connect is late or has failed get a connection of the pool once it has rested (reuseIdle). An attempt on MySQL waits as long between two commands.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -17,6 +17,7 @@
 
 	// The host's actor alone uses these fields.
 	freedAt  time.Time // when it last became free; zero: it has been neither idle nor used
+	used     bool      // it was given an attempt
 	firstUse bool      // its current attempt is its first, given to it as soon as it was open
 
 	// The connection's goroutine alone uses these fields.
@@ -72,6 +73,7 @@
 
 // give hands an attempt to a connection that has none.
 func (c *pooledConn) give(a *core.Attempt) {
+	c.used = true
 	c.attempts <- a
 	c.conn.Wake()
 }
@@ -80,7 +82,7 @@
 // gives an attempt that is still in c.attempts then to another connection.
 func (c *pooledConn) serve(h *host) {
 	defer func() {
-		if time.Since(c.rejectedAt) < reuseDelay {
+		if time.Since(c.rejectedAt) < ReuseDelay {
 			h.recordRejection()
 		}
 	}()
--- a/internal/backend/host.go
+++ b/internal/backend/host.go
@@ -44,6 +44,7 @@
 	connecting int              // the part of open that is still being opened
 	demand     poolsize.Host    // how often attempts arrive
 	trimAt     time.Time        // when idle connections are trimmed next; zero: not scheduled
+	reuseAt    time.Time        // when a reuseIdle arrives next; zero: not scheduled
 
 	connectLogged time.Time // when a failed connect was logged last
 }
@@ -58,6 +59,7 @@
 type (
 	closeIdle     struct{}                   // close all idle connections
 	trimIdle      struct{}                   // close the idle connections whose idle time is over
+	reuseIdle     struct{}                   // give reusable idle connections to waiting attempts
 	evictOldest   struct{}                   // close the connection that has been idle longest: its slot is needed elsewhere
 	connOpened    struct{ conn *pooledConn } // a new connection is ready
 	connectFailed struct{ err error }        // a new connection failed
@@ -114,13 +116,16 @@
 	case trimIdle:
 		h.trimAt = time.Time{}
 		h.trimIdle()
+	case reuseIdle:
+		h.reuseAt = time.Time{}
+		h.reuseIdle()
 	case evictOldest:
 		h.closeIdle(max(0, len(h.idle)-1))
 	case connOpened:
 		h.connecting--
-		h.putConn(m.conn)
+		h.putNew(m.conn)
 	case connFreed:
-		h.putConn(m.conn)
+		h.putUsed(m.conn)
 	case connectFailed:
 		h.open--
 		h.connecting--
@@ -130,6 +135,7 @@
 		h.removeIdle(m.conn)
 		h.reassign(m.conn)
 	}
+	h.failUncovered(routing.ResultConnectFailed, 0)
 }
 
 // assign gives an attempt to an idle connection. If there is none for it, assign opens a connection and lets the attempt wait
@@ -148,6 +154,7 @@
 		return
 	}
 	h.waiting = append(h.waiting, waitingAttempt{a, time.Now()})
+	h.scheduleReuse()
 	h.open++
 	h.connecting++
 	h.pool.group.Go(func() error {
@@ -171,25 +178,24 @@
 	}
 }
 
-// nextWaiting removes and returns the oldest attempt that still waits, if it has waited for at least minWait; otherwise it
-// returns nil.
-func (h *host) nextWaiting(minWait time.Duration) *core.Attempt {
-	for len(h.waiting) > 0 {
-		oldest := h.waiting[0]
-		if oldest.Waiting() && time.Since(oldest.since) < minWait {
-			return nil
-		}
+// hasWaiting reports whether the oldest attempt that still waits has waited for at least minWait. It removes the attempts before it,
+// which no longer wait.
+func (h *host) hasWaiting(minWait time.Duration) bool {
+	for len(h.waiting) > 0 && !h.waiting[0].Waiting() {
 		h.waiting = h.waiting[1:]
-		if oldest.Waiting() {
-			return oldest.Attempt
-		}
 	}
-	return nil
+	return len(h.waiting) > 0 && time.Since(h.waiting[0].since) >= minWait
 }
 
-// handleConnectFailed handles a failed connect. It fails the oldest waiting attempt, unless there is an idle connection or the
-// connections that are still being opened are enough for all waiting attempts. The attempt takes the idle connection whatever
-// its ConnPolicy.
+// nextWaiting removes and returns the oldest attempt, after hasWaiting has reported that there is one.
+func (h *host) nextWaiting() *core.Attempt {
+	oldest := h.waiting[0]
+	h.waiting = h.waiting[1:]
+	return oldest.Attempt
+}
+
+// handleConnectFailed handles a failed connect. It fails the oldest waiting attempt, unless other connections are left for all
+// waiting attempts.
 func (h *host) handleConnectFailed(err error) {
 	result, delay := routing.ResultConnectFailed, time.Duration(0)
 	switch {
@@ -205,31 +211,27 @@
 		h.connectLogged = now
 		slog.Warn("connect_failed", "host", h.member, "error", err)
 	}
-	if h.connectsCoverWaiting() {
-		return
-	}
-	a := h.nextWaiting(0)
-	switch {
-	case a == nil:
-	case len(h.idle) > 0:
-		c := h.idle[0]
-		h.idle = h.idle[1:]
-		c.give(a)
-	default:
-		h.failAttempt(a, result, delay)
+	h.failUncovered(result, delay)
+}
+
+// failUncovered fails the attempts that have waited longest, until each that is left has a connection to come.
+func (h *host) failUncovered(result routing.Result, delay time.Duration) {
+	for h.hasUncovered() {
+		h.waiting = slices.DeleteFunc(h.waiting, func(a waitingAttempt) bool { return !a.Waiting() })
+		if h.hasUncovered() {
+			h.failAttempt(h.nextWaiting(), result, delay)
+		}
 	}
 }
 
-// connectsCoverWaiting reports whether at least as many connections are being opened as attempts wait. This can be so
-// after a failed connect because used connections took other attempts, or other attempts have ended. Before it counts,
-// connectsCoverWaiting removes the attempts that no longer wait from h.waiting. It returns false if the oldest attempt has
-// waited for the connect timeout: its own connect is over, and it must not wait for another attempt's.
-func (h *host) connectsCoverWaiting() bool {
-	h.waiting = slices.DeleteFunc(h.waiting, func(a waitingAttempt) bool { return !a.Waiting() })
-	if len(h.waiting) > h.connecting {
+// hasUncovered reports whether there are more waiting attempts than connections to come: idle ones, which take any attempt once they
+// are reusable, and those that are being opened. An attempt that has waited for the connect timeout does not wait for another
+// attempt's connect: its own is over.
+func (h *host) hasUncovered() bool {
+	if len(h.waiting) <= len(h.idle) {
 		return false
 	}
-	return len(h.waiting) == 0 || time.Since(h.waiting[0].since) < h.pool.options.ConnectTimeout
+	return len(h.waiting) > len(h.idle)+h.connecting || time.Since(h.waiting[0].since) >= h.pool.options.ConnectTimeout
 }
 
 // failAttempt ends an attempt of which nothing was written, after a delay or as soon as it is abandoned. It does not call
--- a/internal/backend/idle.go
+++ b/internal/backend/idle.go
@@ -8,62 +8,82 @@
 	"cranegate/routing"
 )
 
+// ReuseDelay is how long a connection stays unused behind an answer. Nothing ties an answer to its statement, so bytes that the host
+// sends behind an answer, such as a second copy of it, have to arrive before the next statement is written.
+const ReuseDelay = 100 * time.Millisecond
+
 const (
-	reuseDelay        = 100 * time.Millisecond // idle time before reuse, so that surplus bytes of the last answer arrive before it
-	maxConnsForDelay  = 12                     // with this many connections open to a host, reuseDelay does not apply
-	trimRetryInterval = 50 * time.Millisecond  // until a trim is posted again to a mailbox that was full
-	newConnWait       = 10 * time.Millisecond  // after it an attempt that waits for a new connection also takes a used one
+	postRetryInterval = 50 * time.Millisecond // until a message is posted again to a mailbox that was full
+	newConnWait       = 10 * time.Millisecond // after it an attempt that waits for a new connection also takes a used one
 )
 
 // takeIdle removes and returns an idle connection that a policy allows an attempt to use, or returns nil if the attempt
-// needs a new connection. With ConnOldest neither reuseDelay nor the estimated idle timeout applies.
+// needs a new connection. Whatever the policy, the connection is reusable. With ConnOldest the estimated idle timeout does not apply.
 func (h *host) takeIdle(policy routing.ConnPolicy) *pooledConn {
-	switch {
-	case policy == routing.ConnNew:
+	switch policy {
+	case routing.ConnNew:
 		return nil
-	case policy == routing.ConnOldest && len(h.idle) > 0:
-		oldest := slices.MinFunc(h.idle, func(a, b *pooledConn) int { return a.openedAt.Compare(b.openedAt) })
-		h.removeIdle(oldest)
-		return oldest
+	case routing.ConnOldest:
+		return h.takeOldest()
 	}
 	return h.takeRecent()
 }
 
-// takeRecent removes and returns the most recently used connection that has been idle for reuseDelay, so that surplus
-// connections stay idle until they are closed. If there is none and connections are scarce, it takes the one that has been
-// idle longest. First it closes the connections that have been idle for the estimated idle timeout.
-func (h *host) takeRecent() *pooledConn {
-	limit := h.pool.idleTimeout.estimate(h.pool.options.IdleTimeout)
-	for len(h.idle) > 0 && time.Since(h.idle[0].freedAt) >= limit {
-		h.closeIdle(len(h.idle) - 1) // closes the least recently used one
+// takeOldest removes and returns the connection that was opened first among the reusable ones, or returns nil.
+func (h *host) takeOldest() *pooledConn {
+	var oldest *pooledConn
+	for _, c := range h.idle {
+		if c.reusable() && (oldest == nil || c.openedAt.Before(oldest.openedAt)) {
+			oldest = c
+		}
 	}
-	for i := len(h.idle) - 1; i >= 0; i-- {
-		c := h.idle[i]
-		if time.Since(c.freedAt) >= reuseDelay || i == 0 && h.connsScarce() {
-			h.idle = append(h.idle[:i:i], h.idle[i+1:]...)
+	h.removeIdle(oldest)
+	return oldest
+}
+
+// takeRecent removes and returns the most recently used connection that is reusable, so that surplus connections stay idle until
+// they are closed, or returns nil. First it closes the connections that have been idle for the estimated idle timeout.
+func (h *host) takeRecent() *pooledConn {
+	h.closeExpired()
+	for _, c := range slices.Backward(h.idle) {
+		if c.reusable() {
+			h.removeIdle(c)
 			return c
 		}
 	}
 	return nil
 }
 
-// connsScarce reports whether so many connections are open that no other is to be opened only because of reuseDelay.
-func (h *host) connsScarce() bool { return h.open >= maxConnsForDelay || h.pool.full() }
-
-// putConn gives a free connection to a waiting attempt, or else adds it to the idle ones. A used connection takes only an
-// attempt that has waited for newConnWait, unless connections are scarce; a new one takes any.
-func (h *host) putConn(c *pooledConn) {
-	isNew := c.freedAt.IsZero()
-	minWait := newConnWait
-	if isNew || h.connsScarce() {
-		minWait = 0
+// closeExpired closes the connections that have been idle for the estimated idle timeout.
+func (h *host) closeExpired() {
+	limit := h.pool.idleTimeout.estimate(h.pool.options.IdleTimeout)
+	for len(h.idle) > 0 && time.Since(h.idle[0].freedAt) >= limit {
+		h.closeIdle(len(h.idle) - 1) // closes the least recently used one
 	}
-	c.freedAt, c.firstUse = time.Now(), false
-	if a := h.nextWaiting(minWait); a != nil {
-		c.firstUse = isNew
-		c.give(a)
+}
+
+// reusable reports whether an idle connection can take an attempt: it has been idle for ReuseDelay, or has carried no statement yet.
+func (c *pooledConn) reusable() bool { return !c.used || time.Since(c.freedAt) >= ReuseDelay }
+
+// putNew gives a new connection to the oldest waiting attempt, or else adds it to the idle ones.
+func (h *host) putNew(c *pooledConn) {
+	c.freedAt = time.Now()
+	if h.hasWaiting(0) {
+		c.firstUse = true
+		c.give(h.nextWaiting())
 		return
 	}
+	h.addIdle(c)
+}
+
+// putUsed adds a connection that an attempt has used to the idle ones.
+func (h *host) putUsed(c *pooledConn) {
+	c.freedAt, c.firstUse = time.Now(), false
+	h.addIdle(c)
+	h.scheduleReuse()
+}
+
+func (h *host) addIdle(c *pooledConn) {
 	h.idle = append(h.idle, c)
 	if h.ctx.Err() != nil {
 		h.closeIdle(0) // keeps none
@@ -72,6 +92,33 @@
 	}
 }
 
+// reuseIdle gives reusable connections to the attempts that have waited for newConnWait.
+func (h *host) reuseIdle() {
+	for h.hasWaiting(newConnWait) {
+		c := h.takeRecent()
+		if c == nil {
+			break
+		}
+		c.give(h.nextWaiting())
+	}
+	h.scheduleReuse()
+}
+
+// scheduleReuse schedules the next reuseIdle, unless no attempt waits or no connection is idle.
+func (h *host) scheduleReuse() {
+	if len(h.waiting) == 0 || len(h.idle) == 0 {
+		return
+	}
+	at := h.idle[0].freedAt.Add(ReuseDelay)
+	if waited := h.waiting[0].since.Add(newConnWait); waited.After(at) {
+		at = waited
+	}
+	if now := time.Now(); h.reuseAt.Before(now) || at.Before(h.reuseAt) {
+		h.reuseAt = at
+		h.postAfter(time.Until(at), reuseIdle{})
+	}
+}
+
 // trimIdle closes the idle connections whose idle time by the sizer is over, and schedules the next trim. The least recently
 // used one always has the least time left: it has been idle longest, and the sizer gives it the shortest time.
 //
@@ -94,15 +141,16 @@
 	}
 	if at := now.Add(next); h.trimAt.IsZero() || at.Before(h.trimAt) {
 		h.trimAt = at
-		h.scheduleTrim(next)
+		h.postAfter(next, trimIdle{})
 	}
 }
 
-// scheduleTrim posts a trimIdle after a delay. If the mailbox is full then, it tries again, as no other trim is scheduled.
-func (h *host) scheduleTrim(delay time.Duration) {
+// postAfter posts a message to this host's actor after a delay. If the mailbox is full then, it tries again, as the actor counts
+// on the message.
+func (h *host) postAfter(delay time.Duration, message any) {
 	time.AfterFunc(delay, func() {
-		if !h.post(trimIdle{}) && h.ctx.Err() == nil {
-			h.scheduleTrim(trimRetryInterval)
+		if !h.post(message) && h.ctx.Err() == nil {
+			h.postAfter(postRetryInterval, message)
 		}
 	})
 }
--- a/internal/backend/mysql/prepared.go
+++ b/internal/backend/mysql/prepared.go
@@ -60,8 +60,11 @@
 			if !begun && !a.Waiting() {
 				return c.discard(len(c.w.B))
 			}
-			if !begun && !c.Alive() {
+			switch alive := c.Alive(); {
+			case !alive && !begun:
 				return backend.NotSent, false
+			case !alive: // the host has not run the execute, as it did not know the statement: it may be retried elsewhere
+				return core.Outcome{Result: routing.ResultConnectFailed}, false
 			}
 			serverError, err := c.prepare(command.Statement, c.account.PrepareTimeout)
 			if err != nil { // the execute was not written, or the host did not know the statement: it may be retried elsewhere
@@ -70,6 +73,7 @@
 				return core.Outcome{Result: resultOf(serverError, nil)}, stop()
 			}
 			statement = c.statements[command.Statement]
+			awaitSurplus(a)
 		}
 		buffered := len(c.w.B)
 		c.appendExecute(statement.id, command, time.Until(a.Deadline))
@@ -94,12 +98,24 @@
 		forgotten := serverError != nil && response == nil && serverError.Code == errUnknownStatement
 		if forgotten && wasPrepared {
 			c.forget(command.Statement)
+			awaitSurplus(a)
 			continue
 		}
 		return c.outcome(a, response, serverError, err), stop() && err == nil && c.Buffered() == 0
 	}
 }
 
+// awaitSurplus waits for backend.ReuseDelay behind an answer within an attempt, so that a second copy of it arrives before the next
+// command is written. It returns early if the attempt is abandoned.
+func awaitSurplus(a *core.Attempt) {
+	timer := time.NewTimer(backend.ReuseDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-a.Context().Done():
+	}
+}
+
 // appendExecute buffers an execute, preceded by the long data of its parameters.
 func (c *Conn) appendExecute(id uint32, command *mysqlwire.Command, wait time.Duration) {
 	for param, data := range command.Long {
