Copy the query attributes of MySQL's text queries out of the read buffer

Cause: Cursor.Params returned slices of the session's read buffer, which a text query's request kept. While the request was open the gateway read the client's next command to the same place, so an attempt that was written after that, late or as a retry, carried the next command's attributes.

Change: Params copies each value; execute's copy of its whole packet has gone. This covers queries and executes, and whatever parses parameters later.

--- a/internal/frontend/mysql/statement.go
+++ b/internal/frontend/mysql/statement.go
@@ -1,8 +1,6 @@
 package mysql
 
 import (
-	"bytes"
-
 	"cranegate/internal/core"
 	"cranegate/internal/frontend"
 	"cranegate/internal/mysqlwire"
@@ -65,7 +63,7 @@
 
 // execute runs a prepared statement.
 func (c *client) execute(body []byte) error {
-	cursor := &mysqlwire.Cursor{B: bytes.Clone(body)} // the request needs the parameters after the read buffer is reused
+	cursor := &mysqlwire.Cursor{B: body}
 	s := c.statement(cursor)
 	if s == nil {
 		return nil
--- a/internal/mysqlwire/mysqlwire_test.go
+++ b/internal/mysqlwire/mysqlwire_test.go
@@ -120,3 +120,16 @@
 		}
 	}
 }
+
+// TestParamsAreCopies guards against parameters and attributes that change as the buffer from which they were parsed is reused.
+func TestParamsAreCopies(t *testing.T) {
+	const capabilities = CapProtocol41 | CapQueryAttributes
+	var w Writer
+	w.Query([]Param{Attribute("id", "first")}, []byte("SELECT 1"), capabilities)
+	cursor := Cursor{B: w.B[5:]}
+	attributes, _ := cursor.Query(capabilities)
+	clear(w.B)
+	if cursor.Err != nil || len(attributes) != 1 || attributes[0].Text() != "first" {
+		t.Errorf("%v, %v", attributes, cursor.Err)
+	}
+}
--- a/internal/mysqlwire/params.go
+++ b/internal/mysqlwire/params.go
@@ -1,6 +1,7 @@
 package mysqlwire
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"strconv"
@@ -36,7 +37,7 @@
 	Type  uint16 // with flagUnsigned
 	Name  string
 	Null  bool
-	Value []byte // as encoded on the wire
+	Value []byte // as encoded on the wire; shares no bytes with a connection's buffer
 }
 
 // Attribute returns a query attribute with a string value.
@@ -68,7 +69,7 @@
 	return string(c.String())
 }
 
-// value returns the next value in its encoding on the wire.
+// value returns the next value in its encoding on the wire, as a part of the cursor's bytes.
 func (c *Cursor) value(kind uint16) []byte {
 	before := c.B
 	switch byte(kind) {
@@ -90,7 +91,7 @@
 	return before[:len(before)-len(c.B)]
 }
 
-// Params parses count parameters and attributes. If the client sends no types, boundTypes has the types that it sent before. A
+// Params parses count parameters and attributes, and copies them, as a request may be sent after the connection's buffer is reused. If the client sends no types, boundTypes has the types that it sent before. A
 // parameter whose value was sent ahead as long data, and is in long, has no value here.
 func (c *Cursor) Params(count int, named bool, boundTypes []uint16, long map[int][]byte) []Param {
 	if count < 0 || count > maxParams {
@@ -126,7 +127,7 @@
 		params[i].Null = nulls[i/8]>>(i%8)&1 == 1
 		_, isLong := long[i]
 		if !params[i].Null && !isLong {
-			params[i].Value = c.value(params[i].Type)
+			params[i].Value = bytes.Clone(c.value(params[i].Type))
 		}
 	}
 	return params
