Exit after SIGTERM only once no answer is being written

Cause: shutDown waited for as long as requests may take by their deadlines. A value that streams has none, and nothing told the exit that an answer was being written.

Change: frontend.Server.Answering counts sessions between a message and the last byte of its answer; awaitClients gives up on nobody meanwhile, and logs stopping_after_answers. Idle clients and those stopped in mid-message get no more time than before.

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -35,6 +35,11 @@
 	// finalAnswerGrace is a second wait after the shutdown timeout. A process that got no processor time uses it to send
 	// the answers of requests whose deadline passed together with the timeout.
 	finalAnswerGrace = 100 * time.Millisecond
+	// answeringPollInterval is how often a shutdown past its timeout looks whether answers are still being written.
+	answeringPollInterval = 20 * time.Millisecond
+	// finalCloseGrace is the wait for connections to be closed once the last of these answers has been written. It exceeds
+	// the time that a frontend gives clients to close their side.
+	finalCloseGrace = 400 * time.Millisecond
 )
 
 // gateway is the state of the running program.
@@ -185,7 +190,7 @@
 		"clients", allocation.clients, "servers", allocation.backendConns)
 }
 
-// shutDown waits until the frontends have answered all accepted requests, at most for the shutdown timeout and finalAnswerGrace.
+// shutDown waits until the frontends have ended, or until awaitClients gives up.
 func (g *gateway) shutDown() error {
 	g.status.Set(agentcheck.Draining)
 	slog.Info("stopping")
@@ -194,16 +199,43 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- g.frontends.Wait() }()
-	timeout := max(minShutdownTimeout, g.limiter.MaxDeadline()+shutdownDeadlineGrace)
-	for _, wait := range []time.Duration{timeout, finalAnswerGrace} {
-		select {
-		case err := <-ended:
-			return err
-		case <-time.After(wait):
+	gaveUp := make(chan struct{})
+	go func() {
+		g.awaitClients()
+		close(gaveUp)
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-gaveUp:
+		slog.Warn("stopped_with_clients")
+		return nil
+	}
+}
+
+// awaitClients returns when a shutdown no longer waits for clients: after the shutdown timeout and finalAnswerGrace, and not while an
+// answer is being written. An answer may take longer than that, such as a long value from a slow host. It has no deadline, and ends when
+// its host or its client stops; the platform may kill the process before, but the program itself does not cut it off.
+func (g *gateway) awaitClients() {
+	time.Sleep(max(minShutdownTimeout, g.limiter.MaxDeadline()+shutdownDeadlineGrace))
+	time.Sleep(finalAnswerGrace)
+	if n := g.answering(); n > 0 {
+		slog.Info("stopping_after_answers", "clients", n)
+	}
+	for g.answering() > 0 {
+		for g.answering() > 0 {
+			time.Sleep(answeringPollInterval)
 		}
+		time.Sleep(finalCloseGrace) // meanwhile a client's next message, sent before the answer, may be read
+	}
+}
+
+// answering returns the number of clients whose message was read and whose answer is not written completely.
+func (g *gateway) answering() (clients int) {
+	for _, f := range g.fleets {
+		clients += f.frontend.Answering()
 	}
-	slog.Warn("stopped_with_clients")
-	return nil
+	return clients
 }
 
 // logCounters logs the counters at each SIGUSR1 and, unless interval is 0, once per interval.
--- a/cmd/cranegate/shutdown_test.go
+++ b/cmd/cranegate/shutdown_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cranegate/internal/discovery"
 	"cranegate/internal/fake"
 	"cranegate/internal/pgwire"
 )
@@ -189,3 +192,95 @@
 		t.Error("the shutdown timed out with open clients")
 	}
 }
+
+// streamPause is how long a host pauses in the middle of a long value: for longer than a shutdown waits for clients without an answer.
+const streamPause = 5 * time.Second
+
+// longRow returns a host's answer to a statement with a value of the given size.
+func longRow(size int) []byte {
+	b := pgwire.Append(nil, 'T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+	value := strings.Repeat("v", size)
+	b = pgwire.Append(b, 'D', "\x00\x01", string(binary.BigEndian.AppendUint32(nil, uint32(size))), value)
+	return pgwire.AppendReady(pgwire.Append(b, 'C', "SELECT 1\x00"))
+}
+
+// startStreamingGateway runs the program with one host, which gives each request the same answer and pauses in the middle of it. The
+// listener is the one that the platform passes on; nil: the program opens its own.
+func startStreamingGateway(t *testing.T, inherited net.Listener, answer []byte) *harness {
+	h := startGatewayWithListener(t, inherited, nil)
+	host := &fake.Host{Primary: true, Malform: func(string, []byte) fake.Malformed {
+		return fake.Malformed{Answer: answer[:len(answer)/2], After: streamPause, Surplus: answer[len(answer)/2:]}
+	}}
+	listener := listenLoopback(t)
+	go fake.Accept(listener, host.ServePostgres)
+	h.targets = []discovery.Target{{UID: "db-0", Endpoint: listener.Addr().String(), State: "SERVING", Capacity: 1, Replication: "primary"}}
+	h.discovery.Set(h.targets)
+	h.restartWithConfig(func(config map[string]any) {
+		config["known"] = discovery.Snapshot{Rev: 0, All: true, Targets: h.targets}
+	})
+	h.waitServing()
+	return h
+}
+
+// requestValue sends a request, and returns a channel of all that its client gets, once the first bytes have come.
+func (h *harness) requestValue() <-chan []byte {
+	h.t.Helper()
+	client := h.dialClient()
+	client.Write(pgwire.Append(nil, 'Q', fmt.Sprintf(readQuery, "long", "long"), "\x00"))
+	head := make([]byte, 1000)
+	if _, err := io.ReadFull(client.Conn.Conn, head); err != nil {
+		h.t.Fatal(err)
+	}
+	got := make(chan []byte, 1)
+	go func() {
+		rest, _ := io.ReadAll(client.Conn.Conn)
+		got <- append(head, rest...)
+	}()
+	return got
+}
+
+// checkValue checks what a client got against the host's answer.
+func checkValue(t *testing.T, got, answer []byte) {
+	t.Helper()
+	if !bytes.Equal(got, answer) {
+		t.Errorf("the client got %d bytes that differ from the host's %d bytes", len(got), len(answer))
+	}
+}
+
+// TestShutdownWhileValueStreams guards against a value that the gateway's own exit cuts off: the exit waited for requests, which end by
+// their deadlines, and not for values, which have none.
+func TestShutdownWhileValueStreams(t *testing.T) {
+	answer := longRow(4 << 20)
+	h := startStreamingGateway(t, nil, answer)
+	value := h.requestValue()
+	h.cmd.Process.Signal(syscall.SIGTERM)
+	checkValue(t, <-value, answer)
+	h.expectCleanExit()
+	if h.logged("event=stopped_with_clients") || !h.logged("event=stopping_after_answers") {
+		t.Errorf("the exit did not wait for the value:\n%s", h.log)
+	}
+}
+
+// TestShutdownWhileValueStreamsInUpgrade guards against the same in a process whose clients a newer one has taken over.
+func TestShutdownWhileValueStreamsInUpgrade(t *testing.T) {
+	answer := longRow(4 << 20)
+	h := startStreamingGateway(t, listenLoopback(t), answer)
+	value := h.requestValue()
+	h.launchNewer(freeAddress(t))
+	h.untilLogged("event=superseded")
+	h.cmd.Process.Signal(syscall.SIGTERM)
+	checkValue(t, <-value, answer)
+	h.expectCleanExit()
+}
+
+// TestShutdownWithoutAnswers checks that a client that has begun a message and stopped does not hold up the exit.
+func TestShutdownWithoutAnswers(t *testing.T) {
+	h := startGateway(t, nil)
+	h.dialClient().Write([]byte("Q\x00\x00"))
+	stopped := time.Now()
+	h.cmd.Process.Signal(syscall.SIGTERM)
+	h.expectCleanExit()
+	if took := time.Since(stopped); took > testTimeout {
+		t.Errorf("the exit took %v", took)
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -12,6 +12,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cranegate/internal/core"
@@ -83,8 +84,13 @@
 	ended             bool            // Run has returned or is about to, and no session may start
 	openIDs           map[string]bool // ids of open requests
 	faultLoggedAt     time.Time       // when a session that ended with a fault was last logged
+
+	answering atomic.Int64 // sessions that have read a message and not written its whole answer yet
 }
 
+// Answering returns the number of sessions that have read a message and not written its whole answer yet. Any goroutine may call it.
+func (s *Server) Answering() int { return int(s.answering.Load()) }
+
 // Adopt serves a connection that another process has transferred. Started and answered are the arguments of Transfer in
 // that process. Adopt returns false, and does not serve the connection, once the server has ended.
 func (s *Server) Adopt(conn net.Conn, started, answered bool) bool {
@@ -127,6 +133,7 @@
 	conn := session.Conn.Conn
 	session.Charge(s.Budget)
 	err := s.runProtocol(session)
+	session.setAnswering(false)
 	reason := closeReasonOf(err)
 	session.checkClose(reason)
 	session.Release()
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -41,7 +41,8 @@
 	firstRequestDeadline time.Time // zero once a request was usable
 	arrivedAt            time.Time // when the last byte of the current message arrived, possibly before earlier messages were answered
 	faults               int       // unusable messages in a row
-	unanswered           bool      // a message was read that has no answer yet; used only by checkClose
+	unanswered           bool      // a message was read of whose answer nothing has been written yet; used only by checkClose
+	answering            bool      // a message was read whose answer is not written completely yet
 	lastRequestID        string    // for the log
 }
 
@@ -85,6 +86,7 @@
 // served.
 func (s *Session) Next(read func() error) error {
 	s.unanswered = false // the protocol has answered the last message, or it needs no answer
+	s.setAnswering(false)
 	if s.Buffered() == 0 {
 		s.server.Limiter.SetIdle(s.slot, s.firstRequestDeadline.IsZero())
 	}
@@ -98,9 +100,23 @@
 		return disconnectError(err)
 	}
 	s.unanswered = true
+	s.setAnswering(true)
 	return nil
 }
 
+// setAnswering records whether a message was read whose answer is not written completely yet.
+func (s *Session) setAnswering(answering bool) {
+	if s.answering == answering {
+		return
+	}
+	s.answering = answering
+	if answering {
+		s.server.answering.Add(1)
+	} else {
+		s.server.answering.Add(-1)
+	}
+}
+
 // awaitMessage waits until part of a message has arrived. It returns an error if the session ends.
 func (s *Session) awaitMessage() error {
 	// Evaluated once, right after an answer: a connection that has been idle since is not closed at once when a drain
