Leave clients that send without an end out of the wait for answers

Change: messages that arrive once the shutdown timeout has passed are answered, but not waited for (Server.FinishAnswers).

--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -213,11 +213,15 @@
 	}
 }
 
-// awaitClients returns when a shutdown no longer waits for clients: after the shutdown timeout and finalAnswerGrace, and not while an
-// answer is being written. An answer may take longer than that, such as a long value from a slow host. It has no deadline, and ends when
-// its host or its client stops; the platform may kill the process before, but the program itself does not cut it off.
+// awaitClients returns when a shutdown no longer waits for clients: after the shutdown timeout and finalAnswerGrace, and not while a
+// message that came before is being answered. An answer may take longer than that, such as a long value from a slow host. It has no
+// deadline, and ends when its host or its client stops; the platform may kill the process before, but the program itself does not cut it
+// off.
 func (g *gateway) awaitClients() {
 	time.Sleep(max(minShutdownTimeout, g.limiter.MaxDeadline()+shutdownDeadlineGrace))
+	for _, f := range g.fleets {
+		f.frontend.FinishAnswers()
+	}
 	time.Sleep(finalAnswerGrace)
 	if n := g.answering(); n > 0 {
 		slog.Info("stopping_after_answers", "clients", n)
@@ -226,11 +230,11 @@
 		for g.answering() > 0 {
 			time.Sleep(answeringPollInterval)
 		}
-		time.Sleep(finalCloseGrace) // meanwhile a client's next message, sent before the answer, may be read
+		time.Sleep(finalCloseGrace) // meanwhile a session may go on to a message that has waited for this answer
 	}
 }
 
-// answering returns the number of clients whose message was read and whose answer is not written completely.
+// answering returns the number of clients for whom frontend.Server.Answering waits.
 func (g *gateway) answering() (clients int) {
 	for _, f := range g.fleets {
 		clients += f.frontend.Answering()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -85,12 +85,20 @@
 	openIDs           map[string]bool // ids of open requests
 	faultLoggedAt     time.Time       // when a session that ended with a fault was last logged
 
-	answering atomic.Int64 // sessions that have read a message and not written its whole answer yet
+	answering atomic.Int64              // sessions that are counted by Answering
+	finalAt   atomic.Pointer[time.Time] // messages that arrive from then on are not counted; nil: all are
 }
 
 // Answering returns the number of sessions that have read a message and not written its whole answer yet. Any goroutine may call it.
 func (s *Server) Answering() int { return int(s.answering.Load()) }
 
+// FinishAnswers has Answering leave out messages that arrive from now on, so that a client that always has a message open does not keep
+// it above zero. The messages are still answered. Any goroutine may call it.
+func (s *Server) FinishAnswers() {
+	now := time.Now()
+	s.finalAt.CompareAndSwap(nil, &now)
+}
+
 // Adopt serves a connection that another process has transferred. Started and answered are the arguments of Transfer in
 // that process. Adopt returns false, and does not serve the connection, once the server has ended.
 func (s *Server) Adopt(conn net.Conn, started, answered bool) bool {
@@ -133,7 +141,7 @@
 	conn := session.Conn.Conn
 	session.Charge(s.Budget)
 	err := s.runProtocol(session)
-	session.setAnswering(false)
+	session.endAnswer()
 	reason := closeReasonOf(err)
 	session.checkClose(reason)
 	session.Release()
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -42,7 +42,7 @@
 	arrivedAt            time.Time // when the last byte of the current message arrived, possibly before earlier messages were answered
 	faults               int       // unusable messages in a row
 	unanswered           bool      // a message was read of whose answer nothing has been written yet; used only by checkClose
-	answering            bool      // a message was read whose answer is not written completely yet
+	counted              bool      // by Server.Answering: a message was read whose answer is not written completely yet
 	lastRequestID        string    // for the log
 }
 
@@ -86,7 +86,7 @@
 // served.
 func (s *Session) Next(read func() error) error {
 	s.unanswered = false // the protocol has answered the last message, or it needs no answer
-	s.setAnswering(false)
+	s.endAnswer()
 	if s.Buffered() == 0 {
 		s.server.Limiter.SetIdle(s.slot, s.firstRequestDeadline.IsZero())
 	}
@@ -100,19 +100,23 @@
 		return disconnectError(err)
 	}
 	s.unanswered = true
-	s.setAnswering(true)
+	s.beginAnswer()
 	return nil
 }
 
-// setAnswering records whether a message was read whose answer is not written completely yet.
-func (s *Session) setAnswering(answering bool) {
-	if s.answering == answering {
+// beginAnswer counts the message that was just read for Server.Answering, unless it arrived after Server.FinishAnswers.
+func (s *Session) beginAnswer() {
+	if finalAt := s.server.finalAt.Load(); finalAt != nil && !s.arrivedAt.Before(*finalAt) {
 		return
 	}
-	s.answering = answering
-	if answering {
-		s.server.answering.Add(1)
-	} else {
+	s.counted = true
+	s.server.answering.Add(1)
+}
+
+// endAnswer ends the count of a message by beginAnswer.
+func (s *Session) endAnswer() {
+	if s.counted {
+		s.counted = false
 		s.server.answering.Add(-1)
 	}
 }
