--- a/internal/mysqlwire/params.go
+++ b/internal/mysqlwire/params.go
@@ -91,8 +91,9 @@
 	return before[:len(before)-len(c.B)]
 }
 
-// Params parses count parameters and attributes, and copies them, as a request may be sent after the connection's buffer is reused. If the client sends no types, boundTypes has the types that it sent before. A
-// parameter whose value was sent ahead as long data, and is in long, has no value here.
+// Params parses count parameters and attributes, and copies them, as a request may be sent after the connection's buffer is
+// reused. If the client sends no types, boundTypes has the types that it sent before. A parameter whose value was sent ahead as
+// long data, and is in long, has no value here.
 func (c *Cursor) Params(count int, named bool, boundTypes []uint16, long map[int][]byte) []Param {
 	if count < 0 || count > maxParams {
 		c.fail(fmt.Errorf("%d parameters: %w", count, ErrMalformed))
