--- a/cmd/cranegate/shutdown_test.go
+++ b/cmd/cranegate/shutdown_test.go
@@ -275,6 +275,15 @@
 	h.expectCleanExit()
 }
 
+// TestLameduckWhileValueStreams checks that a drain by staff leaves a value alone that is being written.
+func TestLameduckWhileValueStreams(t *testing.T) {
+	answer := longRow(4 << 20)
+	h := startStreamingGateway(t, nil, answer)
+	value := h.requestValue(answer)
+	h.expectStatus("POST", "/_lameduck/on", 200)
+	checkValue(t, <-value, answer)
+}
+
 // TestShutdownWithBusyClients guards against an exit that never comes: a client that has begun a message and stopped, and one that sends
 // requests without an end, must not hold it up as answers that are being written do.
 func TestShutdownWithBusyClients(t *testing.T) {
--- a/internal/backend/idle_test.go
+++ b/internal/backend/idle_test.go
@@ -8,6 +8,7 @@
 
 	"cranegate/internal/core"
 	"cranegate/internal/poolsize"
+	"cranegate/routing"
 )
 
 // TestTrimSurvivesFullMailbox has a host's mailbox full when a trim of its idle connections is scheduled. The trim must be
@@ -36,3 +37,19 @@
 		}
 	})
 }
+
+// TestHealthCheckWaitsForSurplus guards against a health check that takes the second copy of an answer for its own: the oldest
+// connection was used for it as soon as it was free.
+func TestHealthCheckWaitsForSurplus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		resting := &pooledConn{used: true, openedAt: time.Now(), freedAt: time.Now()}
+		h := &host{idle: []*pooledConn{resting}}
+		if c := h.takeIdle(routing.ConnOldest); c != nil {
+			t.Error("a connection is used right behind an answer")
+		}
+		time.Sleep(ReuseDelay)
+		if c := h.takeIdle(routing.ConnOldest); c != resting || len(h.idle) != 0 {
+			t.Error("a connection that has been idle for long enough is not used")
+		}
+	})
+}
