--- a/internal/backend/idle_test.go
+++ b/internal/backend/idle_test.go
@@ -45,7 +45,7 @@
 		resting := &pooledConn{used: true, openedAt: time.Now(), freedAt: time.Now()}
 		h := &host{idle: []*pooledConn{resting}}
 		if c := h.takeIdle(routing.ConnOldest); c != nil {
-			t.Error("a connection is used right behind an answer")
+			t.Fatal("a connection is used right behind an answer")
 		}
 		time.Sleep(ReuseDelay)
 		if c := h.takeIdle(routing.ConnOldest); c != resting || len(h.idle) != 0 {
