Keep idle connections from health checks that need a new one

Cause: since an attempt that waits for its own connect gets any connection of the pool that has rested, after 10 ms; a health check with ConnNew too. While a zone is out such checks are to leave idle connections alone, as these show later whether a host's process has survived. Change: nextReuse passes over attempts with ConnNew unless fewer connections are being opened than attempts wait (a connect has failed); attempts behind them don't wait for them. A failed connect schedules the reuse. Evidence: backend.TestCheckOfNewConnectionKeepsIdleOnes failed before ("the check has used up the idle connection") and passes; the package's tests pass under the race detector.

--- a/internal/backend/host.go
+++ b/internal/backend/host.go
@@ -154,9 +154,9 @@
 		return
 	}
 	h.waiting = append(h.waiting, waitingAttempt{a, time.Now()})
-	h.scheduleReuse()
 	h.open++
 	h.connecting++
+	h.scheduleReuse()
 	h.pool.group.Go(func() error {
 		h.openConn()
 		return nil
@@ -212,6 +212,7 @@
 		slog.Warn("connect_failed", "host", h.member, "error", err)
 	}
 	h.failUncovered(result, delay)
+	h.scheduleReuse() // an attempt that waits for a new connection may take a used one now
 }
 
 // failUncovered fails the attempts that have waited longest, until each that is left has a connection to come.
--- a/internal/backend/idle.go
+++ b/internal/backend/idle.go
@@ -92,25 +92,44 @@
 	}
 }
 
-// reuseIdle gives reusable connections to the attempts that have waited for newConnWait.
+// reuseIdle gives reusable connections to the attempts that have waited for newConnWait and may take a used one.
 func (h *host) reuseIdle() {
-	for h.hasWaiting(newConnWait) {
+	for {
+		next := h.nextReuse()
+		if next < 0 || time.Since(h.waiting[next].since) < newConnWait {
+			break
+		}
 		c := h.takeRecent()
 		if c == nil {
 			break
 		}
-		c.give(h.nextWaiting())
+		c.give(h.waiting[next].Attempt)
+		h.waiting = slices.Delete(h.waiting, next, next+1)
 	}
 	h.scheduleReuse()
 }
 
-// scheduleReuse schedules the next reuseIdle, unless no attempt waits or no connection is idle.
+// nextReuse returns the index of the oldest waiting attempt that may take a used connection, or -1. An attempt with ConnNew may only
+// if fewer connections are being opened than attempts wait, as its own connect has failed. It first removes the attempts that no
+// longer wait.
+func (h *host) nextReuse() int {
+	h.waiting = slices.DeleteFunc(h.waiting, func(a waitingAttempt) bool { return !a.Waiting() })
+	return slices.IndexFunc(h.waiting, func(a waitingAttempt) bool {
+		return a.Conn != routing.ConnNew || h.connecting < len(h.waiting)
+	})
+}
+
+// scheduleReuse schedules the next reuseIdle, unless no connection is idle or no waiting attempt may take a used one.
 func (h *host) scheduleReuse() {
-	if len(h.waiting) == 0 || len(h.idle) == 0 {
+	if len(h.idle) == 0 {
+		return
+	}
+	next := h.nextReuse()
+	if next < 0 {
 		return
 	}
 	at := h.idle[0].freedAt.Add(ReuseDelay)
-	if waited := h.waiting[0].since.Add(newConnWait); waited.After(at) {
+	if waited := h.waiting[next].since.Add(newConnWait); waited.After(at) {
 		at = waited
 	}
 	if now := time.Now(); h.reuseAt.Before(now) || at.Before(h.reuseAt) {
--- a/internal/backend/idle_test.go
+++ b/internal/backend/idle_test.go
@@ -53,3 +53,39 @@
 		}
 	})
 }
+
+// wakeOnlyConn is a connection on which nothing is run.
+type wakeOnlyConn struct{ Conn }
+
+func (wakeOnlyConn) Wake() {}
+
+// TestCheckOfNewConnectionKeepsIdleOnes guards against a health check that needs a new connection and uses up an idle one, which may
+// prove later that the host's process has survived, while its own connect is late. Once that has failed it takes the idle one, and an
+// attempt behind it, which takes any connection, does not wait for it.
+func TestCheckOfNewConnectionKeepsIdleOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := &Pool{options: Options{IdleTimeout: 20 * time.Second, ConnectTimeout: 5 * time.Second},
+			sizer: sharedSizer{sizer: poolsize.New(300, 20*time.Second, time.Now())}}
+		idle := &pooledConn{conn: wakeOnlyConn{}, attempts: make(chan *core.Attempt, 1), used: true, freedAt: time.Now()}
+		check := &core.Attempt{Conn: routing.ConnNew}
+		h := &host{pool: pool, mailbox: make(chan any, 10), ctx: context.Background(), idle: []*pooledConn{idle}, connecting: 1,
+			waiting: []waitingAttempt{{check, time.Now()}}}
+		time.Sleep(time.Second)
+		h.reuseIdle()
+		if len(h.idle) != 1 {
+			t.Fatal("the check has used up the idle connection")
+		}
+		other := &core.Attempt{}
+		h.waiting = append(h.waiting, waitingAttempt{other, time.Now().Add(-time.Second)})
+		h.connecting = 2
+		h.reuseIdle()
+		if len(h.idle) != 0 || <-idle.attempts != other {
+			t.Fatal("an attempt that takes any connection waits for the check's")
+		}
+		h.idle, h.connecting = []*pooledConn{idle}, 0
+		h.reuseIdle()
+		if len(h.idle) != 0 || <-idle.attempts != check {
+			t.Error("the check does not take the idle connection though its connect has failed")
+		}
+	})
+}
