Build long answers of the shutdown tests with the fake host's own code

Cause: the change wrote a host's answer anew, and hasWaiting had a parameter that all callers gave as zero. Evidence: the packages' tests and those of a shutdown pass under the race detector.

--- a/cmd/cranegate/shutdown_test.go
+++ b/cmd/cranegate/shutdown_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -196,13 +195,8 @@
 // streamPause is how long a host pauses in the middle of a long value: for longer than a shutdown waits for clients without an answer.
 const streamPause = 5 * time.Second
 
-// longRow returns a host's answer to a statement with a value of the given size.
-func longRow(size int) []byte {
-	b := pgwire.Append(nil, 'T', "\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
-	value := strings.Repeat("v", size)
-	b = pgwire.Append(b, 'D', "\x00\x01", string(binary.BigEndian.AppendUint32(nil, uint32(size))), value)
-	return pgwire.AppendReady(pgwire.Append(b, 'C', "SELECT 1\x00"))
-}
+// longAnswer returns a host's answer with a value of 4 MiB.
+func longAnswer() []byte { return fake.PostgresAnswer(strings.Repeat("v", 4<<20)) }
 
 // startStreamingGateway runs the program with one host, which gives each request the same answer and pauses in the middle of it. The
 // listener is the one that the platform passes on; nil: the program opens its own.
@@ -252,7 +246,7 @@
 // TestShutdownWhileValueStreams guards against a value that the gateway's own exit cuts off: the exit waited for requests, which end by
 // their deadlines, and not for values, which have none.
 func TestShutdownWhileValueStreams(t *testing.T) {
-	answer := longRow(4 << 20)
+	answer := longAnswer()
 	h := startStreamingGateway(t, nil, answer)
 	value := h.requestValue(answer)
 	h.cmd.Process.Signal(syscall.SIGTERM)
@@ -265,7 +259,7 @@
 
 // TestShutdownWhileValueStreamsInUpgrade guards against the same in a process whose clients a newer one has taken over.
 func TestShutdownWhileValueStreamsInUpgrade(t *testing.T) {
-	answer := longRow(4 << 20)
+	answer := longAnswer()
 	h := startStreamingGateway(t, listenLoopback(t), answer)
 	value := h.requestValue(answer)
 	h.launchNewer(freeAddress(t))
@@ -277,7 +271,7 @@
 
 // TestLameduckWhileValueStreams checks that a drain by staff leaves a value alone that is being written.
 func TestLameduckWhileValueStreams(t *testing.T) {
-	answer := longRow(4 << 20)
+	answer := longAnswer()
 	h := startStreamingGateway(t, nil, answer)
 	value := h.requestValue(answer)
 	h.expectStatus("POST", "/_lameduck/on", 200)
--- a/internal/backend/host.go
+++ b/internal/backend/host.go
@@ -178,13 +178,12 @@
 	}
 }
 
-// hasWaiting reports whether the oldest attempt that still waits has waited for at least minWait. It removes the attempts before it,
-// which no longer wait.
-func (h *host) hasWaiting(minWait time.Duration) bool {
+// hasWaiting reports whether an attempt still waits. It removes the attempts before the oldest of these, which no longer wait.
+func (h *host) hasWaiting() bool {
 	for len(h.waiting) > 0 && !h.waiting[0].Waiting() {
 		h.waiting = h.waiting[1:]
 	}
-	return len(h.waiting) > 0 && time.Since(h.waiting[0].since) >= minWait
+	return len(h.waiting) > 0
 }
 
 // nextWaiting removes and returns the oldest attempt, after hasWaiting has reported that there is one.
--- a/internal/backend/idle.go
+++ b/internal/backend/idle.go
@@ -68,7 +68,7 @@
 // putNew gives a new connection to the oldest waiting attempt, or else adds it to the idle ones.
 func (h *host) putNew(c *pooledConn) {
 	c.freedAt = time.Now()
-	if h.hasWaiting(0) {
+	if h.hasWaiting() {
 		c.firstUse = true
 		c.give(h.nextWaiting())
 		return
@@ -83,6 +83,7 @@
 	h.scheduleReuse()
 }
 
+// addIdle adds a connection to the idle ones, or closes it if the host is retired.
 func (h *host) addIdle(c *pooledConn) {
 	h.idle = append(h.idle, c)
 	if h.ctx.Err() != nil {
--- a/internal/fake/postgreshost.go
+++ b/internal/fake/postgreshost.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// PostgresAnswer returns a complete answer to a statement, with a value and no parameters.
+func PostgresAnswer(value string) []byte { return pgwire.AppendReady(appendRow(nil, "v", value)) }
+
 // appendRow appends a result of one row with one column.
 func appendRow(b []byte, name, value string) []byte {
 	b = pgwire.Append(b, 'T', "\x00\x01", name, "\x00", "\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
