--- a/review/_standin-2/moved.go
+++ b/review/_standin-2/moved.go
@@ -11,6 +11,9 @@
 
 func init() { cases["moved"] = discoveryMoves }
 
+// agentLag is how much later than the old agent the new one has a change.
+const agentLag = 2900 * time.Millisecond
+
 // discoveryMoves tells a gateway that a host drains and is gone, and then moves discovery to an agent that has not heard of it yet.
 // Without trouble the new agent has.
 func discoveryMoves(rec *record) bool {
@@ -40,17 +43,18 @@
 		clients.Go(func() { c.run(g.listen) })
 	}
 	time.Sleep(2 * time.Second)
+	draining := time.Now()
 	before.set(gone, func(t *target) { t.State = "DRAINING" })
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	before.remove(gone)
 	told := time.Now()
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	if !trouble {
 		after.set(gone, func(t *target) { t.State = "DRAINING" })
 		after.remove(gone)
 	}
 	g.moveDiscovery(after, rec)
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Until(draining.Add(agentLag)))
 	if trouble {
 		after.set(gone, func(t *target) { t.State = "DRAINING" })
 		after.remove(gone)
