--- a/review/_standin-2/pipelined.go
+++ b/review/_standin-2/pipelined.go
@@ -152,7 +152,7 @@
 
 // stopUnderPipelining ends a gateway by SIGTERM while clients have three commands under way on each connection.
 func stopUnderPipelining(rec *record) bool {
-	p := startPipelining(rec, 5200*time.Microsecond, 9*time.Millisecond, 12, 3)
+	p := startPipelining(rec, 2900*time.Microsecond, 5*time.Millisecond, 3, 3)
 	if trouble {
 		rec.line("signal", "SIGTERM")
 		p.cmd.Process.Signal(syscall.SIGTERM)
