Send session reads to the primary while another process may serve their writes

Callers with remembered writes read without their own write after an upgrade. Cause: a router without a mark of a session took the session to have written nothing, but during an upgrade the other process serves writes too, also after its export.

ShareSessions: while another process lives, a session's read requires all commits before its arrival; after its end that moment is a floor until the replicas have it. A mark dropped at the limit raises the floor too. No format changes, nothing more is handed over.

--- a/cmd/cranegate/sharedlimits.go
+++ b/cmd/cranegate/sharedlimits.go
@@ -11,7 +11,7 @@
 
 // updateLimitsLocked does the work of updateLimits; g.mu is held. While another process runs, each has half of the memory and of the
 // connections to hosts, and no idle client is evicted while slots are free. A request that the client sends during its eviction would
-// be lost, although two processes are there to serve it.
+// be lost, although two processes are there to serve it. The processes also share the clients' sessions.
 func (g *gateway) updateLimitsLocked() {
 	shared := g.olderAlive || g.newerAlive
 	memoryBytes := runtimeMemoryBytes(g.limits)
@@ -25,6 +25,7 @@
 	debug.SetMemoryLimit(memoryBytes)
 	for _, f := range g.fleets {
 		f.pool.ReserveDescriptors(otherProcessConns)
+		f.core.ShareSessions(shared)
 	}
 	g.reserveBudgetLocked(shared)
 }
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -108,6 +108,12 @@
 	c.post(actorCall(func() { c.router.Restore(learned) }))
 }
 
+// ShareSessions sets whether another process of this gateway may be serving writes, as Router.ShareSessions describes. It holds
+// for requests that are submitted after the call.
+func (c *Core) ShareSessions(shared bool) {
+	c.post(actorCall(func() { c.router.ShareSessions(c.now, shared) }))
+}
+
 // SetStartTimes sets start times of hosts that another process has recorded. It must be called before the first endpoint
 // list, because the router gets the start times as part of a list's endpoints.
 func (c *Core) SetStartTimes(ctx context.Context, starts map[string]time.Time) error {
--- a/internal/processtest/harness_test.go
+++ b/internal/processtest/harness_test.go
@@ -101,8 +101,9 @@
 	configPath    string
 	stateDir      string
 	processes     []*process
-	maxAttempts   int      // of an idempotent request
-	logOutput     *os.File // where processes started from now on log; nil: to their own logBuffer
+	replicaLag    atomic.Int64 // time by which the replicas' positions lag, in nanoseconds
+	maxAttempts   int          // of an idempotent request
+	logOutput     *os.File     // where processes started from now on log; nil: to their own logBuffer
 }
 
 // executions returns how often a request was executed on all hosts together.
@@ -142,6 +143,13 @@
 		}
 		return fake.Serve
 	}
+	server.RoleAndPosition = func(bool) (bool, int64) {
+		lag := time.Duration(0)
+		if !server.Primary {
+			lag = time.Duration(h.replicaLag.Load())
+		}
+		return server.Primary, time.Now().Add(-lag).UnixMilli()
+	}
 	l := listen(h.t)
 	go fake.Accept(l, server.ServePostgres)
 	role := "standby"
--- a/routing/events.go
+++ b/routing/events.go
@@ -57,7 +57,7 @@
 	case class.Consistency != ConsistencySession:
 		return 0
 	case r.cfg.LocalSessions:
-		return r.sessionMarks.positions[in.Session]
+		return r.sessionMarks.required(in.Session, r.positionAt(r.now))
 	case in.SinceWrite > 0:
 		return r.positionAt(r.now - in.SinceWrite)
 	}
--- a/routing/snapshot.go
+++ b/routing/snapshot.go
@@ -11,7 +11,7 @@
 
 // Snapshot is what a Router has learned about its members and its traffic, for the Router of a successor
 // process. Times are on the caller's clock, which must be the same for both. Other versions read and write
-// the JSON names.
+// the JSON names. It has no session marks, as the predecessor goes on serving writes: see ShareSessions.
 type Snapshot struct {
 	Members          map[string]MemberSnapshot `json:"Members"`   // by id
 	ExpectedLatency  []time.Duration           `json:"Usual"`     // by class
