Charge what a request really takes, and copy no long statement

With 300 clients a process under a limit of 32 MB took more: MySQL with 4,096 attributes of a few bytes each 48,460 KiB, MySQL with long writes 33,360 KiB, two processes of an upgrade with long PostgreSQL writes 34,760 KiB together. Cause: an attribute takes some 100 bytes beside its own, uncharged; a statement was copied up to four times on its way (read buffer, text, string, message), one copy charged.

A long message's read buffer is left to the statement (framebuf.Detach), PostgreSQL writes it without a copy, MySQL with one that is charged, as attributes and long data are. A key over 1 KiB is replaced by its hash. A buffer for a message of known length is no larger.

The fake hosts answer with the key from the text, as a long Statement.Key is a hash now.

--- a/cmd/cranegate/harness_client_test.go
+++ b/cmd/cranegate/harness_client_test.go
@@ -41,15 +41,23 @@
 // dial connects to an address. The connection is closed at the end of the test.
 func (h *harness) dial(address string) net.Conn {
 	h.t.Helper()
-	c, err := net.Dial("tcp", address)
+	c, err := dialWithDeadline(address)
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	c.SetDeadline(time.Now().Add(testTimeout))
 	h.t.Cleanup(func() { c.Close() })
 	return c
 }
 
+// dialWithDeadline connects to an address for testTimeout.
+func dialWithDeadline(address string) (net.Conn, error) {
+	c, err := net.Dial("tcp", address)
+	if err == nil {
+		c.SetDeadline(time.Now().Add(testTimeout))
+	}
+	return c, err
+}
+
 // untilListening waits for the PostgreSQL frontend's listener and returns a connection to it.
 func (h *harness) untilListening() net.Conn {
 	h.t.Helper()
--- a/internal/backend/mysql/mysql.go
+++ b/internal/backend/mysql/mysql.go
@@ -40,7 +40,7 @@
 	c.w.Reset(0)
 	c.closeDropped()
 	if a.Request == nil {
-		return c.query(a, nil, []byte(c.account.HealthCheck))
+		return c.query(a, nil, [][]byte{[]byte(c.account.HealthCheck)})
 	}
 	command := a.Request.Payload.(*mysqlwire.Command)
 	switch command.Kind {
@@ -50,7 +50,7 @@
 		return c.execute(a, command)
 	}
 	wait := time.Until(a.Deadline)
-	return c.query(a, attributes(command, wait), command.Meta.Append(nil, wait))
+	return c.query(a, attributes(command, wait), command.Meta.Text(wait))
 }
 
 // deadlineAttribute is the name of the query attribute with the time that the client waits, in milliseconds.
@@ -71,10 +71,10 @@
 }
 
 // query runs a text query.
-func (c *Conn) query(a *core.Attempt, attributes []mysqlwire.Param, text []byte) (core.Outcome, bool) {
+func (c *Conn) query(a *core.Attempt, attributes []mysqlwire.Param, text [][]byte) (core.Outcome, bool) {
 	buffered := len(c.w.B)
 	c.w.Seq = 0
-	c.w.Query(attributes, text, c.caps)
+	c.w.QueryParts(attributes, text, c.caps)
 	if !c.Alive() {
 		return backend.NotSent, false
 	}
--- a/internal/backend/postgres/postgres.go
+++ b/internal/backend/postgres/postgres.go
@@ -21,7 +21,7 @@
 	userName         = "svc"
 	databaseName     = "main"
 
-	maxIdleBuffer = 16 << 10 // capacity in bytes up to which a connection keeps its write buffer for the next statement
+	maxCopiedMessage = 16 << 10 // bytes
 )
 
 // errPasswordRequired is the error of a host that requires a password, which the gateway does not have.
@@ -30,7 +30,7 @@
 // Conn is one connection to a database host.
 type Conn struct {
 	*framebuf.Conn
-	out []byte // the statement to write; the buffer is reused
+	out []byte // for short statements; the buffer is reused
 }
 
 // Start runs the protocol's startup on a new connection, which then can take a query. It is a backend.Starter.
@@ -69,7 +69,7 @@
 // Exchange implements backend.Conn. If the connection breaks before the statement's last byte is written, the statement has
 // not run; if it breaks later, the statement may have run.
 func (c *Conn) Exchange(a *core.Attempt) (core.Outcome, bool) {
-	c.setStatement(a)
+	message, size := statementMessage(a)
 	c.SetWriteDeadline(time.Now().Add(backend.WriteTimeout))
 	c.SetReadDeadline(time.Time{}) // none: the core abandons the attempt at its deadline
 	if !c.Alive() {
@@ -79,12 +79,7 @@
 		return backend.NotSent, true
 	}
 	stop := backend.CloseOnAbandon(a, c)
-	n, err := c.Write(c.out)
-	complete := n == len(c.out)
-	if cap(c.out) > maxIdleBuffer {
-		c.out = nil
-	}
-	if err != nil && !complete {
+	if n, err := c.writeMessage(message, size); err != nil && n < size {
 		return core.Outcome{Result: routing.ResultConnectFailed}, false
 	}
 	r := reply{healthCheck: a.Request == nil}
@@ -100,14 +95,28 @@
 	return r.outcome(), stop() && c.Buffered() == 0
 }
 
-// setStatement sets c.out to the message with an attempt's statement or with the health check's.
-func (c *Conn) setStatement(a *core.Attempt) {
-	text := healthCheckQuery
+// writeMessage writes a message of size bytes and returns how many of them were written. It copies a short message, in order to make
+// one write of it.
+func (c *Conn) writeMessage(message net.Buffers, size int64) (int64, error) {
+	if size > maxCopiedMessage {
+		return message.WriteTo(c.Conn.Conn)
+	}
+	c.out = c.out[:0]
+	for _, part := range message {
+		c.out = append(c.out, part...)
+	}
+	n, err := c.Write(c.out)
+	return int64(n), err
+}
+
+// statementMessage returns the message with an attempt's statement or with the health check's, and its size in bytes. It does not copy
+// the statement's text.
+func statementMessage(a *core.Attempt) (message net.Buffers, size int64) {
+	text := [][]byte{[]byte(healthCheckQuery)}
 	if a.Request != nil {
-		statement := a.Request.Payload.(*sqlcomment.Statement)
-		text = string(statement.Append(make([]byte, 0, statement.Len()), time.Until(a.Deadline)))
+		text = a.Request.Payload.(*sqlcomment.Statement).Text(time.Until(a.Deadline))
 	}
-	c.out = pgwire.Append(c.out[:0], messageQuery, text, "\x00")
+	return pgwire.QueryMessage(text)
 }
 
 // streamError is an error of an answer that is streamed to its client.
--- a/internal/fake/host.go
+++ b/internal/fake/host.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cranegate/internal/framebuf"
+	"cranegate/internal/sqlcomment"
 )
 
 // Act is how a host handles a statement.
@@ -175,8 +176,8 @@
 	return "x0=" + strconv.FormatFloat(float64(position)/1000, 'f', 3, 64) + ",x1=" + role
 }
 
-// valueOf returns the value in the answer to a statement with this key.
-func valueOf(key string) string { return "value of " + key }
+// valueOf returns the value in the answer to a statement, which contains the statement's key.
+func valueOf(text string) string { return "value of " + string(sqlcomment.FirstQuoted([]byte(text))) }
 
 // sqlErrors holds the SQLSTATE and the message of each act that ServePostgres answers with an error, except Miss, whose
 // SQLSTATE depends on the statement.
--- a/internal/fake/mysqlhost.go
+++ b/internal/fake/mysqlhost.go
@@ -213,7 +213,7 @@
 		if strings.Contains(text, "INSERT") {
 			c.writer.Result(&mysqlwire.Result{OK: mysqlwire.OK{Affected: 1, Session: c.host.sessionVariables()}}, c.caps)
 		} else {
-			c.sendRow("v", valueOf(statement.Key), binary)
+			c.sendRow("v", valueOf(text), binary)
 		}
 		return true
 	default:
--- a/internal/fake/postgreshost.go
+++ b/internal/fake/postgreshost.go
@@ -47,7 +47,7 @@
 			c.Need(c.Buffered() + 1) // until the peer closes or sends more
 			return
 		case Serve:
-			out = appendRow(out, "v", valueOf(statement.Key))
+			out = appendRow(out, "v", valueOf(string(text)))
 		case Miss:
 			code := "72000"
 			if write {
--- a/internal/framebuf/framebuf.go
+++ b/internal/framebuf/framebuf.go
@@ -104,6 +104,17 @@
 	c.arrivals.consume(n)
 }
 
+// Detach leaves the buffer, with the n bytes that were consumed last, to the caller, so that a long message need not be copied, and
+// returns the buffer's reserved bytes to the budget. It must be called before the next read. It does nothing and returns false if the
+// buffer is small, has unread bytes or is much longer than n; later reads then overwrite the consumed bytes.
+func (c *Conn) Detach(n int) bool {
+	if len(c.buf) <= initialSize || len(c.buf) > n+n/4+initialSize || c.Buffered() > 0 {
+		return false
+	}
+	c.Release()
+	return true
+}
+
 // ArrivedAt returns when the last byte that Skip consumed arrived. A message that waits behind others arrives long before it is
 // consumed. The time may be a little too early, but is never later than the read that returned the byte. It is zero before the
 // first Skip.
@@ -141,7 +152,10 @@
 	}
 	to := c.buf
 	if n > len(c.buf) {
-		size := max(initialSize, min(c.limit, n+n/4))
+		size := max(initialSize, n)
+		if n == c.Buffered()+1 { // the number of bytes to come is not known
+			size = max(initialSize, min(c.limit, n+n/4))
+		}
 		more := size - initialSize - c.reserved
 		if !c.budget.Reserve(more) {
 			return ErrBudgetExhausted
--- a/internal/frontend/mysql/command.go
+++ b/internal/frontend/mysql/command.go
@@ -75,7 +75,7 @@
 		c.RecordSuccess()
 		return nil
 	}
-	meta, err := sqlcomment.Parse(text)
+	meta, err := c.ParseStatement(text)
 	if err != nil {
 		c.writeSyntaxError(err)
 		return nil
@@ -89,7 +89,8 @@
 	return len(text) >= len(keyword) && strings.EqualFold(string(text[:len(keyword)]), keyword)
 }
 
-// submit submits a statement as a request and writes its answer. The request uses about size bytes of memory.
+// submit submits a statement as a request and writes its answer. The request has about size bytes of text and values, of which an
+// attempt has a copy.
 func (c *client) submit(meta *sqlcomment.Statement, command *mysqlwire.Command, size int) error {
 	if err := applyAttributes(meta, command.Attributes); err != nil {
 		c.writeSyntaxError(err)
@@ -101,7 +102,8 @@
 		return nil
 	}
 	command.Meta = meta
-	answer, err := c.Do(frontend.NewRequest(meta, command), meta.ID, size)
+	size += len(meta.ID) + len(meta.Key) + mysqlwire.ParamBytes*(len(command.Params)+len(command.Attributes))
+	answer, err := c.Do(frontend.NewRequest(meta, command), meta.ID, 2*size)
 	if errors.Is(err, frontend.ErrDuplicateID) {
 		c.writeError(errDuplicateID)
 		return nil
@@ -121,7 +123,7 @@
 func applyAttributes(meta *sqlcomment.Statement, attributes []mysqlwire.Param) error {
 	for _, attribute := range attributes {
 		if attribute.Name == keyAttribute {
-			meta.Key = attribute.Text()
+			meta.Key = sqlcomment.ShortKey(attribute.Text())
 		} else if err := meta.Set(attribute.Name, attribute.Text()); err != nil {
 			return err
 		}
--- a/internal/frontend/mysql/statement.go
+++ b/internal/frontend/mysql/statement.go
@@ -31,21 +31,19 @@
 		c.writeError(errTooManyStatements)
 		return nil
 	}
-	if !c.Budget().Reserve(len(text)) { // until the statement is closed
-		c.writeError(errNoMemory)
-		return nil
-	}
-	statementText := string(text)
-	meta, err := sqlcomment.ParseString(statementText)
+	meta, err := sqlcomment.ParseComment(text)
 	if err == nil && !c.hasClass(meta.Class) {
 		err = frontend.ErrUnknownClass
 	}
 	if err != nil {
-		c.Budget().Release(len(text))
 		c.writeSyntaxError(err)
 		return nil
 	}
-	s := &prepared{Statement: mysqlwire.NewStatement(statementText, meta)}
+	if !c.Budget().Reserve(len(text)) { // until the statement is closed
+		c.writeError(errNoMemory)
+		return nil
+	}
+	s := &prepared{Statement: mysqlwire.NewStatement(string(text), meta)}
 	command := &mysqlwire.Command{Kind: mysqlwire.ComStmtPrepare, Statement: s.Statement}
 	answer, err := c.Do(&core.Request{Class: PrepareClass, Group: meta.Group, Payload: command}, "", 0)
 	if err != nil || answer.Status != core.Served {
@@ -70,10 +68,10 @@
 	if s == nil {
 		return nil
 	}
-	longData, invalid := s.longData, s.longDataInvalid
+	longData, longDataBytes, invalid := s.longData, s.longDataBytes, s.longDataInvalid
 	params := cursor.Execute(c.capabilities, s.Params, s.boundTypes, longData)
-	defer c.Budget().Release(s.longDataBytes) // only after the answer, as the request uses the long data
-	s.longDataBytes = 0                       // dropLongData must not release these bytes as well
+	defer c.Budget().Release(longDataBytes) // only after the answer, as the request uses the long data
+	s.longDataBytes = 0                     // dropLongData must not release these bytes as well
 	c.dropLongData(s)
 	if cursor.Err != nil || invalid {
 		c.writeError(errParameters)
@@ -92,7 +90,7 @@
 		Attributes: attributes,
 		Long:       longData,
 	}
-	return c.submit(&meta, command, len(body))
+	return c.submit(&meta, command, len(body)+longDataBytes)
 }
 
 // storeLongData stores a part of a parameter's value for the next execute. The protocol has no answer to this command: an unknown
--- a/internal/frontend/postgres/query.go
+++ b/internal/frontend/postgres/query.go
@@ -58,7 +58,7 @@
 
 // parse parses a statement and its comment. It returns an error if the statement can't be submitted.
 func (c *client) parse(text []byte) (*sqlcomment.Statement, error) {
-	statement, err := sqlcomment.Parse(text)
+	statement, err := c.ParseStatement(text)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mysqlwire/params.go
+++ b/internal/mysqlwire/params.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 )
 
@@ -40,6 +41,9 @@
 	Value []byte // as encoded on the wire; shares no bytes with a connection's buffer
 }
 
+// ParamBytes is about how much memory a Param takes beside the bytes of its name and value.
+const ParamBytes = 96
+
 // Attribute returns a query attribute with a string value.
 func Attribute(name, value string) Param {
 	return Param{Type: TypeVarString, Name: name, Value: appendString(nil, value)}
@@ -172,6 +176,11 @@
 
 // Query writes a text query.
 func (w *Writer) Query(attributes []Param, text []byte, caps uint32) {
+	w.QueryParts(attributes, [][]byte{text}, caps)
+}
+
+// QueryParts writes a text query whose text is in several parts.
+func (w *Writer) QueryParts(attributes []Param, text [][]byte, caps uint32) {
 	w.Begin()
 	w.Byte(ComQuery)
 	if caps&CapQueryAttributes != 0 {
@@ -179,7 +188,14 @@
 		w.Int(1)
 		w.Params(attributes, true)
 	}
-	w.B = append(w.B, text...)
+	length := 0
+	for _, part := range text {
+		length += len(part)
+	}
+	w.B = slices.Grow(w.B, length)
+	for _, part := range text {
+		w.B = append(w.B, part...)
+	}
 	w.End()
 }
 
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"net"
 
 	"cranegate/internal/framebuf"
 )
@@ -27,6 +28,7 @@
 )
 
 const (
+	textEnd            = "\x00"
 	lengthBytes        = 4
 	kindBytes          = 1
 	startupHeaderBytes = lengthBytes + 4 // the length and the code
@@ -175,6 +177,17 @@
 	return b
 }
 
+// QueryMessage returns a Query with a text in parts, which it does not copy, and the message's size in bytes.
+func QueryMessage(text [][]byte) (message net.Buffers, size int64) {
+	length := lengthBytes + len(textEnd)
+	for _, part := range text {
+		length += len(part)
+	}
+	head := binary.BigEndian.AppendUint32([]byte{'Q'}, uint32(length))
+	message = append(net.Buffers{head}, text...)
+	return append(message, []byte(textEnd)), int64(kindBytes + length)
+}
+
 // AppendRaw appends a message with a body.
 func AppendRaw(b []byte, kind byte, body []byte) []byte {
 	b = binary.BigEndian.AppendUint32(append(b, kind), uint32(len(body)+lengthBytes))
--- a/internal/sqlcomment/sqlcomment.go
+++ b/internal/sqlcomment/sqlcomment.go
@@ -7,6 +7,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"strconv"
@@ -33,8 +35,8 @@
 	fieldRetry       = "r" // "1" for a retry
 )
 
-// Statement is one request, as its comment and its text describe it. Its strings share no bytes with the text that was parsed.
-// ID may be kept for long; Class and Key are parts of a copy of the whole text, so whoever keeps one of them keeps all of it.
+// Statement is one request, as its comment and its text describe it. Its strings are copies, so that one that is kept for long
+// does not keep the text.
 //
 // Of the comment's fields, "id" is ID, "c" is Class, "d" is Timeout, "cluster" is Group, "after" is MinPosition and "r" is Retry.
 type Statement struct {
@@ -45,84 +47,83 @@
 	Group       int
 	MinPosition int64  // position that a read has to see, in milliseconds of Unix time; 0 for none
 	Retry       bool   // the client marked it as a retry
-	Key         string // the first quoted text after the comment, which is the key in every statement of the platform
+	Key         string // the first quoted text after the comment, which is the key in every statement of the platform; see ShortKey
 
-	beforeTimeout, afterTimeout string // the text before and after the value of Timeout's field
+	beforeTimeout, afterTimeout []byte // the text before and after the value of Timeout's field; all in the first without the field
 }
 
 // Parse parses a statement. The caller may reuse text afterwards. Unknown fields are ignored and stay in the text. Parse returns
 // ErrNoComment, or an error for a comment that is too long or malformed.
 func Parse(text []byte) (*Statement, error) {
-	trimmed := bytes.TrimLeft(text, whiteSpace)
-	end, err := commentEnd(string(trimmed[:min(len(trimmed), MaxComment)]))
+	s, err := ParseOwned(text)
 	if err != nil {
 		return nil, err
 	}
-	return parse(string(trimmed), end)
+	s.beforeTimeout, s.afterTimeout = bytes.Clone(s.beforeTimeout), bytes.Clone(s.afterTimeout)
+	return s, nil
 }
 
-// ParseString is Parse for a string. The statement shares its bytes.
-func ParseString(text string) (*Statement, error) {
-	trimmed := strings.TrimLeft(text, whiteSpace)
-	end, err := commentEnd(trimmed[:min(len(trimmed), MaxComment)])
+// ParseOwned is Parse for a text that the statement may keep: the caller must not change it afterwards.
+func ParseOwned(text []byte) (*Statement, error) {
+	s, valueStart, valueEnd, err := parse(text)
 	if err != nil {
 		return nil, err
 	}
-	return parse(trimmed, end)
+	s.beforeTimeout = bytes.TrimLeft(text, whiteSpace)
+	if s.HasTimeout {
+		s.beforeTimeout, s.afterTimeout = s.beforeTimeout[:valueStart:valueStart], s.beforeTimeout[valueEnd:]
+	}
+	return s, nil
 }
 
-// commentEnd returns the offset of the end of the comment with which a text opens.
-func commentEnd(text string) (int, error) {
-	if !strings.HasPrefix(text, "/*") {
-		return 0, ErrNoComment
+// ParseComment is Parse without a copy of the text, for a statement that is not sent on in this form. Text returns nothing then.
+func ParseComment(text []byte) (*Statement, error) {
+	s, _, _, err := parse(text)
+	return s, err
+}
+
+// parse parses a statement except for its text, and returns where the value of Timeout's field is in the text without white space
+// before it.
+func parse(text []byte) (s *Statement, valueStart, valueEnd int, err error) {
+	trimmed := bytes.TrimLeft(text, whiteSpace)
+	if !bytes.HasPrefix(trimmed, []byte("/*")) {
+		return nil, 0, 0, ErrNoComment
 	}
-	end := strings.Index(text, "*/")
+	end := bytes.Index(trimmed[:min(len(trimmed), MaxComment)], []byte("*/"))
 	if end < 0 {
-		return 0, fmt.Errorf("comment without an end within %d bytes", MaxComment)
+		return nil, 0, 0, fmt.Errorf("comment without an end within %d bytes", MaxComment)
 	}
-	return end, nil
-}
-
-// parse parses a statement that opens with a comment, which ends at an offset.
-func parse(full string, end int) (*Statement, error) {
-	s := &Statement{beforeTimeout: full}
+	comment := string(trimmed[:end])
+	s = &Statement{}
 	for start := len("/*"); start < end; {
 		fieldEnd := end
-		if i := strings.IndexByte(full[start:end], ','); i >= 0 {
+		if i := strings.IndexByte(comment[start:end], ','); i >= 0 {
 			fieldEnd = start + i
 		}
-		if err := s.parseField(full, start, fieldEnd); err != nil {
-			return nil, err
+		field := comment[start:fieldEnd]
+		name, value, ok := strings.Cut(field, "=")
+		if !ok {
+			return nil, 0, 0, fmt.Errorf("comment field %q has no value", field)
+		}
+		trimmedName, trimmedValue := strings.TrimSpace(name), strings.TrimSpace(value)
+		if err := s.Set(trimmedName, trimmedValue); err != nil {
+			return nil, 0, 0, err
+		}
+		if trimmedName == fieldTimeout {
+			valueStart = start + len(name) + len("=") + strings.Index(value, trimmedValue)
+			valueEnd = valueStart + len(trimmedValue)
 		}
 		start = fieldEnd + 1
 	}
-	s.Key = firstQuoted(full[end+len("*/"):])
-	return s, nil
-}
-
-// parseField parses and sets the field full[start:end].
-func (s *Statement) parseField(full string, start, end int) error {
-	name, value, ok := strings.Cut(full[start:end], "=")
-	if !ok {
-		return fmt.Errorf("comment field %q has no value", full[start:end])
-	}
-	trimmedName, trimmedValue := strings.TrimSpace(name), strings.TrimSpace(value)
-	if err := s.Set(trimmedName, trimmedValue); err != nil {
-		return err
-	}
-	if trimmedName == fieldTimeout {
-		valueStart := start + len(name) + len("=") + strings.Index(value, trimmedValue)
-		s.beforeTimeout = full[:valueStart]
-		s.afterTimeout = full[valueStart+len(trimmedValue):]
-	}
-	return nil
+	s.Key = ShortKey(FirstQuoted(trimmed[end+len("*/"):]))
+	return s, valueStart, valueEnd, nil
 }
 
 // Set sets one field by its name in a comment or query attribute. Unknown names are ignored.
 func (s *Statement) Set(name, value string) (err error) {
 	switch name {
 	case fieldID:
-		s.ID = strings.Clone(value)
+		s.ID = value
 	case fieldClass:
 		s.Class = value
 	case fieldTimeout:
@@ -150,32 +151,35 @@
 	return time.Duration(ms) * time.Millisecond, err
 }
 
-// Append appends the statement's text to b. In place of the client's timeout it has the time that this gateway will wait, rounded
-// up to milliseconds.
-func (s *Statement) Append(b []byte, wait time.Duration) []byte {
-	b = append(b, s.beforeTimeout...)
-	if s.HasTimeout && s.afterTimeout != "" {
-		ms := int64((wait + time.Millisecond - 1) / time.Millisecond)
-		b = strconv.AppendInt(b, max(1, ms), 10)
+// Text returns the parts of the statement's text, which the caller must not change. In place of the client's timeout it has the
+// time that this gateway will wait, rounded up to milliseconds.
+func (s *Statement) Text(wait time.Duration) [][]byte {
+	if s.afterTimeout == nil {
+		return [][]byte{s.beforeTimeout}
 	}
-	return append(b, s.afterTimeout...)
+	ms := int64((wait + time.Millisecond - 1) / time.Millisecond)
+	return [][]byte{s.beforeTimeout, strconv.AppendInt(nil, max(1, ms), 10), s.afterTimeout}
 }
 
-// timeoutDigits is the number of bytes that Len allows for the digits of a timeout.
-const timeoutDigits = 12
-
-// Len returns the approximate length of the text that Append appends, in bytes. It is enough to size a buffer.
-func (s *Statement) Len() int { return len(s.beforeTimeout) + len(s.afterTimeout) + timeoutDigits }
-
-// firstQuoted returns the first text in single quotes, or "" if there is none.
-func firstQuoted(s string) string {
-	_, rest, ok := strings.Cut(s, "'")
+// FirstQuoted returns the first text in single quotes, or nil if there is none.
+func FirstQuoted(text []byte) []byte {
+	_, rest, _ := bytes.Cut(text, []byte("'"))
+	quoted, _, ok := bytes.Cut(rest, []byte("'"))
 	if !ok {
-		return ""
-	}
-	quoted, _, ok := strings.Cut(rest, "'")
-	if !ok {
-		return ""
+		return nil
 	}
 	return quoted
 }
+
+// maxKey bounds the length of a key that is kept as it is, in bytes.
+const maxKey = 1024
+
+// ShortKey returns a copy of a key or, if the key is over 1 KiB, a hash in place of it: keys are only compared, and a statement's
+// key may be as long as the statement.
+func ShortKey[T string | []byte](key T) string {
+	if len(key) <= maxKey {
+		return string(key)
+	}
+	hash := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(hash[:])
+}
--- a/internal/sqlcomment/sqlcomment_test.go
+++ b/internal/sqlcomment/sqlcomment_test.go
@@ -1,6 +1,7 @@
 package sqlcomment
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"testing"
@@ -44,7 +45,7 @@
 		if s.ID != "9b1f" || s.Class != "basket" || s.Timeout != 480*time.Millisecond || s.Group != 2 || s.MinPosition != 1767225600123 || !s.Retry {
 			t.Fatalf("%+v", s)
 		}
-		if got := string(s.Append(nil, 399100*time.Microsecond)); got != text("400") {
+		if got := string(bytes.Join(s.Text(399100*time.Microsecond), nil)); got != text("400") {
 			t.Fatalf("%q, want %q", got, text("400"))
 		}
 	})
