Pause a client that sends without a pause

One connection with empty queries, unsound statements or pings at full speed made 16 other clients' answers take 28 to 47 ms (median) in place of 0.9 ms, up to 200 ms. Cause: with one processor that always has work, the runtime looks for bytes on other connections only every 10 ms, and a request needs several such looks.

After 32 messages within 32 ms a session sleeps for 1 ms.

--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -44,6 +44,7 @@
 	unanswered           bool      // a message was read of whose answer nothing has been written yet; used only by checkClose
 	counted              bool      // by Server.Answering: a message was read whose answer is not written completely yet
 	lastRequestID        string    // for the log, shortened
+	rate                 messageRate
 }
 
 // Draining reports whether the gateway is draining.
@@ -87,6 +88,7 @@
 func (s *Session) Next(read func() error) error {
 	s.unanswered = false // the protocol has answered the last message, or it needs no answer
 	s.endAnswer()
+	s.rate.limit()
 	if s.Buffered() == 0 {
 		s.server.Limiter.SetIdle(s.slot, s.firstRequestDeadline.IsZero())
 	}
