Remember the ids of requests that must not run twice

A write's id ran again when it came once more: after its client had left and its time had passed, after its answer, and at the other process of an upgrade. Cause: only ids of open requests were compared, in each process for itself.

requestids.Set is a table in a file that all processes of a gateway map; an id is claimed atomically before its request is submitted and released only if nothing has run. TestIDOfADisconnectedClient asked for the second run of a write; it now asks that the id is refused, has run once, and that another write is served after the timeout.

--- a/cmd/cranegate/fleet.go
+++ b/cmd/cranegate/fleet.go
@@ -178,6 +178,8 @@
 		Budget:   g.budget,
 		Counters: g.counters,
 		Monitor:  g.monitor,
+
+		RequestIDs: g.requestIDs,
 	}
 	if g.coordinator != nil {
 		server.Transfer = g.connectionSender(f.name)
--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -21,6 +21,7 @@
 	"cranegate/internal/invariant"
 	"cranegate/internal/logging"
 	"cranegate/internal/metrics"
+	"cranegate/internal/requestids"
 )
 
 const (
@@ -52,6 +53,7 @@
 	budget          *framebuf.Budget   // bytes buffered for clients
 	maxBackendConns int                // connections to the database hosts of each protocol
 	maxAdminCalls   int                // concurrent callers at the platform's admin address
+	requestIDs      *requestids.Set    // of requests that may run once
 	serializer      admin.Serializer   // orders the admin calls of all admin addresses
 
 	stopping  context.Context         // ends when a graceful shutdown begins
@@ -103,6 +105,9 @@
 		g.openHotRestart(os.Getenv("TMPDIR"))
 		defer g.closeHotRestart()
 	}
+	if g.requestIDs == nil {
+		g.requestIDs = requestids.New()
+	}
 	if err := g.startFleets(fleets, operator); err != nil {
 		return err
 	}
--- a/cmd/cranegate/hotrestart.go
+++ b/cmd/cranegate/hotrestart.go
@@ -12,6 +12,7 @@
 	"cranegate/internal/hotrestart"
 	"cranegate/internal/hotrestart/fdpass"
 	"cranegate/internal/hotrestart/state"
+	"cranegate/internal/requestids"
 )
 
 // importTimeout bounds how long a starting process waits until its cores have applied the start times from an older process.
@@ -70,6 +71,9 @@
 		}
 	}
 	g.coordinator, g.olderAlive, g.folder = coordinator, coordinator.Older(), folder
+	if g.requestIDs, err = requestids.Open(folder); err != nil {
+		slog.Warn("request_ids_not_shared", "error", err)
+	}
 	known := coordinator.State()
 	slog.Info("hotrestart_opened", "older", g.olderAlive, "out", len(known.Detached), "lameduck", known.Lameduck)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -124,6 +124,15 @@
 	return request.Timeout
 }
 
+// Effect returns what running a request of a class a second time does.
+func (c *Core) Effect(class string) routing.Effect {
+	i, ok := c.classIndex[class]
+	if !ok {
+		return routing.Idempotent // such a request never runs
+	}
+	return c.options.Routing.Classes[i].Effect
+}
+
 // Submit gives a request to the actor. It returns false if the actor has ended; no answer then follows.
 func (c *Core) Submit(request *Request) bool {
 	return c.post(requestSubmitted{request})
--- a/internal/frontend/disconnect_test.go
+++ b/internal/frontend/disconnect_test.go
@@ -329,8 +329,8 @@
 }
 
 // TestIDOfADisconnectedClient has a client disconnect while its write runs, and another client send a write with the same id. The
-// gateway must not serve the second write, as hosts would take it for another attempt of the first. After the timeout of the first
-// write its id and its memory are free again.
+// gateway must not serve the second write, as hosts would take it for another attempt of the first, nor after the timeout of the first
+// write, which has run. Its memory is free then: another write is served.
 func TestIDOfADisconnectedClient(t *testing.T) {
 	for _, form := range protocols {
 		inBubble(t, func() (err error) {
@@ -364,8 +364,11 @@
 			}
 			release()
 			time.Sleep(1100 * time.Millisecond)
-			if got, err := second.request("put", "q1"); err != nil || got.Outcome != "served" {
-				return fmt.Errorf("%s: the same id after the timeout: %+v, %v", form, got, err)
+			if got, err := second.request("put", "q1"); err != nil || got.Outcome != "failed" || host.Ran("q1") != 1 {
+				return fmt.Errorf("%s: the same id after the timeout: %+v, %v, ran %d times", form, got, err, host.Ran("q1"))
+			}
+			if got, err := second.request("put", "q2"); err != nil || got.Outcome != "served" {
+				return fmt.Errorf("%s: another id after the timeout: %+v, %v", form, got, err)
 			}
 			return nil
 		})
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -21,6 +21,7 @@
 	"cranegate/internal/frontend/drain"
 	"cranegate/internal/invariant"
 	"cranegate/internal/metrics"
+	"cranegate/internal/requestids"
 )
 
 // faultLogInterval is the shortest time between two log lines about sessions that ended with a fault.
@@ -65,6 +66,9 @@
 	Budget   *framebuf.Budget   // memory budget for data that clients send, in bytes; may be shared with other servers
 	Counters *metrics.Counters
 	Monitor  *invariant.Monitor // counts violations of invariants; may be nil
+	// RequestIDs holds the ids of requests that may have run and must not run again; may be shared with other servers and processes.
+	// nil: ids are only compared with those of open requests.
+	RequestIDs *requestids.Set
 	// Transfer transfers an idle connection to another process during a hot restart. Started says that the client has
 	// completed the startup, answered that it has sent a usable message. If Transfer returns true, the connection belongs
 	// to the other process. If Transfer is nil, connections are not transferred.
@@ -172,28 +176,3 @@
 	}()
 	return s.Protocol.Serve(session)
 }
-
-// openRequest records that a request with this id is open. It returns false if one is open already, because database hosts
-// would take the second request for another attempt of the first. Requests without an id are never duplicates.
-func (s *Server) openRequest(id string) bool {
-	if id == "" {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.openIDs[id] {
-		return false
-	}
-	if s.openIDs == nil {
-		s.openIDs = map[string]bool{}
-	}
-	s.openIDs[id] = true
-	return true
-}
-
-// closeRequest records that the request with this id is no longer open.
-func (s *Server) closeRequest(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.openIDs, id)
-}
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -26,6 +26,7 @@
 	"cranegate/internal/frontend/postgres"
 	"cranegate/internal/invariant"
 	"cranegate/internal/metrics"
+	"cranegate/internal/requestids"
 	"cranegate/routing"
 )
 
@@ -150,7 +151,8 @@
 	if h.mysql {
 		protocol = mysql.Protocol{}
 	}
-	return &frontend.Server{Name: name, Protocol: protocol, Core: h.core, Limiter: limiter, Budget: h.budget, Counters: h.counters}
+	return &frontend.Server{Name: name, Protocol: protocol, Core: h.core, Limiter: limiter, Budget: h.budget, Counters: h.counters,
+		RequestIDs: requestids.New()}
 }
 
 // updateEndpoints sends the core a list of all hosts, in which the last host has the given phase.
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -20,7 +20,8 @@
 // request, and size is about how many bytes of memory the request uses until it is answered. Do sets the request's ID,
 // Arrived, Timeout, Disconnected and Reply.
 //
-// Do returns ErrDuplicateID, without running the request, if another request with this id is open. If the memory budget is
+// Do returns ErrDuplicateID, without running the request, if another request with this id is open, or if one that must not run twice
+// may have run. If the memory budget is
 // exhausted, the answer is Rejected, and if the core has ended, it is Failed; in both cases the request has not run.
 //
 // Otherwise the id stays open and the memory reserved until Do returns or, if the client disconnects after the request was
@@ -52,13 +53,21 @@
 		s.server.Counters.Add(s.server.Name+"_clients_gone_before", 1)
 		return core.Answer{}, ErrDisconnected
 	}
+	effect := s.server.Core.Effect(request.Class)
+	if !s.server.claimID(id, effect) {
+		return core.Answer{}, ErrDuplicateID
+	}
 	answers := make(chan core.Answer, 1)
 	s.prepare(request, id, answers)
 	expiresAt := s.arrivedAt.Add(request.Timeout) // computed here, as the core owns the request after Submit
 	if !s.server.Core.Submit(request) {
+		s.server.releaseID(id, effect)
 		return core.Answer{Status: core.Failed}, nil
 	}
 	answer, err := s.awaitAnswer(answers)
+	if err == nil && answer.Status == core.Rejected {
+		s.server.releaseID(id, effect)
+	}
 	if err != nil {
 		s.server.Core.ClientDisconnected(request)
 		// An attempt may still be running at its host, which would take a request with the same id for another attempt of it.
--- a/internal/processtest/harness_test.go
+++ b/internal/processtest/harness_test.go
@@ -92,18 +92,19 @@
 
 // harness is one gateway with all that it needs to run: hosts, discovery, the listening socket and the state directory.
 type harness struct {
-	t             *testing.T
-	hosts         []*host
-	targets       []discovery.Target
-	discovery     *fake.Discovery
-	discoveryHung atomic.Bool // while set, discovery answers no call
-	listener      *net.TCPListener
-	configPath    string
-	stateDir      string
-	processes     []*process
-	replicaLag    atomic.Int64 // time by which the replicas' positions lag, in nanoseconds
-	maxAttempts   int          // of an idempotent request
-	logOutput     *os.File     // where processes started from now on log; nil: to their own logBuffer
+	t                  *testing.T
+	hosts              []*host
+	targets            []discovery.Target
+	discovery          *fake.Discovery
+	discoveryHung      atomic.Bool // while set, discovery answers no call
+	listener           *net.TCPListener
+	configPath         string
+	stateDir           string
+	processes          []*process
+	lastSessionRequest atomic.Int64
+	replicaLag         atomic.Int64 // time by which the replicas' positions lag, in nanoseconds
+	maxAttempts        int          // of an idempotent request
+	logOutput          *os.File     // where processes started from now on log; nil: to their own logBuffer
 }
 
 // executions returns how often a request was executed on all hosts together.
--- a/internal/processtest/sessions_test.go
+++ b/internal/processtest/sessions_test.go
@@ -20,7 +20,6 @@
 	harness *harness
 	conn    *fake.PostgresClient
 	key     string
-	count   int // of its requests
 }
 
 // newSessionClient connects a client.
@@ -38,8 +37,7 @@
 func (c *sessionClient) request(class, statement string) string {
 	t := c.harness.t
 	t.Helper()
-	c.count++
-	id := fmt.Sprintf("%s-%d", c.key, c.count)
+	id := fmt.Sprintf("%s-%d", c.key, c.harness.lastSessionRequest.Add(1))
 	text := fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=0 */ "+statement, id, class, (eventualTimeout / 4).Milliseconds(), c.key)
 	if reply, err := c.conn.Ask(text); err != nil || reply.Outcome != "served" {
 		t.Fatalf("%s: %+v, %v", id, reply, err)
