Begin nothing for a client whose close may be hidden behind unread bytes

Cause: with a closed receive window the end can't arrive, and "no end seen" was taken for "connected".

While unread bytes may hide a close, a PostgreSQL client is probed every 50 ms with a ParameterStatus, which its system acknowledges or answers with a reset; no attempt begins over 80 ms after the last sign. MySQL has no such message: the request is refused, unrun.

Before: TestCloseBehindUnreadBytes failed in both protocols (the write ran).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -97,13 +97,22 @@
 // Begin makes the last check before the first byte is written. It returns false if the attempt is over and must not be
 // written. While the attempt waited for a connection, its host may have begun to drain, its request may have ended, the
 // window for a retry may have passed, or the host's data may have become too old for a read. Its client may also have
-// disconnected without the actor, or even the client's session, having noticed yet.
+// disconnected without the actor, or even the client's session, having noticed yet, or its close may be hidden.
 func (a *Attempt) Begin() bool {
 	if a.startDeadline > 0 && a.core.clock.now() >= a.startDeadline {
 		a.transition(stateUnsent, "start_deadline")
 		return false
 	}
-	return !a.Request.checkDisconnected(a.core) && a.transition(stateWritten, "connected")
+	return !a.Request.checkDisconnected(a.core) && !a.stopUnseen() && a.transition(stateWritten, "connected")
+}
+
+// stopUnseen reports whether the request's client may have disconnected without a way to see it. The attempt then must not begin.
+func (a *Attempt) stopUnseen() bool {
+	if !a.Request.isUnseen() {
+		return false
+	}
+	a.transition(stateUnsent, "client_unseen")
+	return true
 }
 
 // Waiting reports whether the attempt still needs a connection.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -48,6 +48,10 @@
 	// It may be nil; Core.ClientDisconnected is then the only notice.
 	Disconnected func() bool
 
+	// Unseen reports whether the client may have disconnected without a way to see it. An attempt does not begin meanwhile, but the
+	// request is answered. Any goroutine may call it, and it must not block. It may be nil.
+	Unseen func() bool
+
 	// Reply receives the final answer. The actor calls it at most once after a Submit, and it must not block.
 	Reply func(Answer)
 
@@ -91,6 +95,11 @@
 	return r.isDisconnected()
 }
 
+// isUnseen reports whether the client of a request that is older than disconnectCheckAge may have disconnected without a way to see it.
+func (r *Request) isUnseen() bool {
+	return r != nil && r.Unseen != nil && time.Since(r.Arrived) > disconnectCheckAge && r.Unseen()
+}
+
 // logID returns the client's id of the request, or "probe" for a health check.
 func (r *Request) logID() string {
 	if r == nil {
--- a/internal/fake/mysqlclient.go
+++ b/internal/fake/mysqlclient.go
@@ -35,6 +35,17 @@
 // send writes the pending packets and reads the first packet of the answer.
 func (c *MySQLClient) send() (Reply, []byte, error) {
 	go c.Write(append([]byte(nil), c.writer.B...)) // if the write fails, the read below fails too
+	return c.readFirst()
+}
+
+// ReadReply reads the first packet of an answer.
+func (c *MySQLClient) ReadReply() (Reply, error) {
+	r, _, err := c.readFirst()
+	return r, err
+}
+
+// readFirst reads the first packet of an answer, and returns it if it is no error.
+func (c *MySQLClient) readFirst() (Reply, []byte, error) {
 	_, b, err := mysqlwire.ReadPacket(c.Conn)
 	if err != nil || len(b) == 0 || b[0] != mysqlwire.HeadErr {
 		return Reply{Outcome: "served"}, b, err
--- a/internal/framebuf/peer.go
+++ b/internal/framebuf/peer.go
@@ -7,6 +7,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// hiddenShare is the part of the receive buffer, as a divisor, from which on unread bytes may close the receive window. The system counts
+// more than the bytes themselves, and opens the window again only for a whole segment.
+const hiddenShare = 4
+
 // States of a TCP connection in the kernel's TCP_INFO.
 const (
 	tcpEstablished = 1
@@ -34,6 +38,38 @@
 	return closed || !ok
 }
 
+// CloseHidden reports whether the peer may have closed the connection without a way to see it: with many unread bytes in the system's
+// receive buffer, neither more bytes nor a close can arrive. Where the system does not tell the receive window, any unread bytes count.
+// Any goroutine may call it.
+func (c *Conn) CloseHidden() bool {
+	hidden := false
+	c.control(func(fd int) {
+		if _, more := peekSocket(fd); !more {
+			return
+		}
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.State != tcpEstablished {
+			return
+		}
+		unread, _ := unix.IoctlGetInt(fd, unix.SIOCINQ)
+		capacity, _ := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF)
+		hidden = info.Rcv_wnd == 0 || unread >= capacity/hiddenShare
+	})
+	return hidden
+}
+
+// Unacknowledged returns the number of bytes that were written and that the peer's system has not acknowledged yet. It is 0 on a
+// connection without a socket. Any goroutine may call it.
+func (c *Conn) Unacknowledged() int {
+	bytes := 0
+	c.control(func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
+}
+
 // Established reports whether the system's state of the connection is open in both directions, and whether the system gives a
 // state at all. A connection that was closed on this side is known not to be established.
 func (c *Conn) Established() (established, known bool) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -53,6 +53,8 @@
 	MaxMessageBytes() int
 	// Serve serves one client until it disconnects or Session.Next returns an error.
 	Serve(*Session) error
+	// Probe returns a message that clients ignore at any time, or nil if the protocol has none.
+	Probe() []byte
 	// Reject writes the error that is sent to a client if there is no slot for it.
 	Reject(net.Conn)
 }
--- a/internal/frontend/mysql/mysql.go
+++ b/internal/frontend/mysql/mysql.go
@@ -32,6 +32,9 @@
 // MaxMessageBytes is the size of the largest packet that a client may send, including its header.
 func (Protocol) MaxMessageBytes() int { return mysqlwire.MaxPacket + packetHeaderBytes }
 
+// Probe returns nil: a MySQL server sends nothing but answers.
+func (Protocol) Probe() []byte { return nil }
+
 // Reject writes the error that is sent to a client if there is no slot for it.
 func (Protocol) Reject(conn net.Conn) {
 	var w mysqlwire.Writer
--- a/internal/frontend/postgres/postgres.go
+++ b/internal/frontend/postgres/postgres.go
@@ -27,6 +27,12 @@
 	severityFatal = "FATAL" // the connection is closed
 )
 
+// The parameter for the encoding of texts, and its only value.
+const (
+	encodingParameter = "client_encoding"
+	encoding          = "UTF8"
+)
+
 // maxKeptOutput is the largest buffer for answers that is kept between messages, in bytes.
 const maxKeptOutput = 16 << 10
 
@@ -36,6 +42,9 @@
 // MaxMessageBytes is the size of the largest message that a client may send.
 func (Protocol) MaxMessageBytes() int { return pgwire.MaxMessage }
 
+// Probe returns a ParameterStatus, which a server may send at any time, with a value that the client has already.
+func (Protocol) Probe() []byte { return pgwire.AppendParameter(nil, encodingParameter, encoding) }
+
 // Reject writes the error that is sent to a client if there is no slot for it.
 func (Protocol) Reject(conn net.Conn) {
 	conn.Write(pgwire.AppendError(nil, severityFatal, codeRejected, "too many clients", ""))
@@ -99,8 +108,8 @@
 	c.Started()
 	b := pgwire.Append(nil, 'R', "\x00\x00\x00\x00")
 	b = pgwire.AppendParameter(b, "server_version", "15.0 (cranegate)")
-	b = pgwire.AppendParameter(b, "server_encoding", "UTF8")
-	b = pgwire.AppendParameter(b, "client_encoding", "UTF8")
+	b = pgwire.AppendParameter(b, "server_encoding", encoding)
+	b = pgwire.AppendParameter(b, encodingParameter, encoding)
 	return c.Send(pgwire.AppendReady(b))
 }
 
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -49,10 +49,18 @@
 	}
 	// The client may have disconnected some time ago, if this process was busy or the request has waited for earlier ones.
 	// ReadAvailable reports whether it has.
+	hidden := s.liveness.hidden.Load() // when this request was read
 	if s.ReadAvailable() {
 		s.server.Counters.Add(s.server.Name+"_clients_gone_before", 1)
 		return core.Answer{}, ErrDisconnected
 	}
+	if unseen := s.checkLiveness(); unseen && s.PeerClosed() {
+		s.server.Counters.Add(s.server.Name+"_clients_gone_before", 1)
+		return core.Answer{}, ErrDisconnected
+	} else if unseen && hidden { // it may have waited behind unread bytes since before a close
+		s.server.Counters.Add(s.server.Name+"_clients_unseen", 1)
+		return core.Answer{Status: core.Rejected}, nil
+	}
 	effect := s.server.Core.Effect(request.Class)
 	if !s.server.claimID(id, effect) {
 		return core.Answer{}, ErrDuplicateID
@@ -83,6 +91,7 @@
 	request.Arrived = s.arrivedAt
 	request.Timeout = s.schedule().RequestTimeout(s.arrivedAt, s.server.Core.Timeout(request))
 	request.Disconnected = s.PeerClosed
+	request.Unseen = s.liveness.isUnseen
 	request.Reply = func(a core.Answer) {
 		answers <- a
 		s.Wake()
@@ -119,6 +128,7 @@
 // answered later, in order.
 func (s *Session) awaitAnswerUnread(answers <-chan core.Answer) (answer core.Answer, ok bool) {
 	s.server.Counters.Add(s.server.Name+"_looks_past_unread", 1) // counts waits without a read
+	s.checkLiveness()
 	poll := time.NewTimer(unreadPollInterval)
 	defer poll.Stop()
 	select {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -45,6 +45,7 @@
 	counted              bool      // by Server.Answering: a message was read whose answer is not written completely yet
 	lastRequestID        string    // for the log, shortened
 	rate                 messageRate
+	liveness             liveness
 }
 
 // Draining reports whether the gateway is draining.
