Wait for an answer that a host writes slowly

A host that wrote an answer in pieces for over 0.4 s had it cut off: a write that had run failed. Cause: AnswerTimeout bounded the whole answer, on the assumption that hosts write without pauses.

AnswerStallTimeout bounds the time without a byte, renewed by each read; the attempt's deadline bounds the whole.

--- a/internal/backend/answer_test.go
+++ b/internal/backend/answer_test.go
@@ -1,8 +1,11 @@
 package backend_test
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
+	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -39,3 +42,53 @@
 		})
 	}
 }
+
+// dribblingConn is the host's end of a connection that writes the answer to a statement in pieces, with pauses between them.
+type dribblingConn struct {
+	net.Conn
+	piece int // bytes
+	pause time.Duration
+}
+
+// Write implements net.Conn. Messages of a startup have no key of a statement in them and are written at once.
+func (c dribblingConn) Write(b []byte) (written int, err error) {
+	if !bytes.Contains(b, []byte("value of")) {
+		return c.Conn.Write(b)
+	}
+	for part := range slices.Chunk(b, c.piece) {
+		n, err := c.Conn.Write(part)
+		if written += n; err != nil {
+			return written, err
+		}
+		time.Sleep(c.pause)
+	}
+	return written, nil
+}
+
+// TestHostIsSlowInTheAnswer has a host write an answer in pieces for over a second. The answer must be served: it was cut off 0.4 s after
+// its first byte, and a write failed though it had run. A host that goes on for longer than the request's time must not delay the final
+// answer.
+func TestHostIsSlowInTheAnswer(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	for _, protocol := range protocols {
+		t.Run(protocol, func(t *testing.T) {
+			t.Parallel()
+			host := &fake.Host{}
+			h := newHarness(t, protocol, host, nil, func(conn net.Conn) {
+				if conn = (dribblingConn{conn, 10, pause}); protocol == "postgres" {
+					host.ServePostgres(conn)
+				} else {
+					host.ServeMySQL(conn)
+				}
+			})
+			h.checkServes("put", "q1")
+			submitted := time.Now()
+			if a := h.wait(h.request("brief", "q2")); a.Status != core.Failed || host.Ran("q2") != 1 {
+				t.Errorf("a short deadline: status %d, ran %d times", a.Status, host.Ran("q2"))
+			}
+			if took := time.Since(submitted); took > testTimeout/4 {
+				t.Errorf("a short deadline: answered after %v", took)
+			}
+		})
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -41,8 +41,9 @@
 // NotSent is the outcome of an attempt of which no byte was written. It has not run and may still be sent.
 var NotSent = core.Outcome{Result: routing.ResultNotSent}
 
-// AnswerTimeout is the maximum time from an answer's first byte to its last. Hosts write an answer without pauses.
-const AnswerTimeout = 400 * time.Millisecond
+// AnswerStallTimeout is the maximum time without a byte in the middle of an answer, and of the whole answer to a prepare. A host may
+// write an answer slowly, up to the attempt's deadline.
+const AnswerStallTimeout = 400 * time.Millisecond
 
 // WriteTimeout is the maximum time of a write to a host. Attempts are abandoned earlier. The timeout limits how long a
 // connection is blocked by a write that belongs to no attempt, such as the preparation of a statement.
--- a/internal/backend/mysql/prepared.go
+++ b/internal/backend/mysql/prepared.go
@@ -140,6 +140,10 @@
 	}
 	c.SetReadDeadline(time.Now().Add(timeout))
 	c.seq = 1
+	if _, err := c.Need(1); err != nil {
+		return nil, nil, err
+	}
+	c.SetReadDeadline(time.Now().Add(backend.AnswerStallTimeout))
 	packet, err := c.readPacket()
 	if err != nil {
 		return nil, nil, err
--- a/internal/backend/mysql/response.go
+++ b/internal/backend/mysql/response.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"time"
 
 	"cranegate/internal/backend"
 	"cranegate/internal/core"
@@ -47,9 +46,6 @@
 	if head[3] != c.seq {
 		return nil, fmt.Errorf("packet %d in place of %d: %w", head[3], c.seq, mysqlwire.ErrMalformed)
 	}
-	if c.seq == 1 {
-		c.SetReadDeadline(time.Now().Add(backend.AnswerTimeout))
-	}
 	c.seq++
 	_, packet, err := mysqlwire.ReadPacket(c.Conn)
 	return packet, err
@@ -82,6 +78,11 @@
 // host, the statement had begun and the host cut its rows off.
 func (c *Conn) readResponse(binary bool) (*mysqlwire.Result, *mysqlwire.Error, error) {
 	c.seq = 1
+	if _, err := c.Need(1); err != nil {
+		return nil, nil, err
+	}
+	c.SetStallTimeout(backend.AnswerStallTimeout)
+	defer c.SetStallTimeout(0)
 	packet, err := c.readPacket()
 	if err != nil {
 		return nil, nil, err
--- a/internal/backend/postgres/postgres.go
+++ b/internal/backend/postgres/postgres.go
@@ -87,7 +87,8 @@
 	if _, err := c.Need(1); err != nil {
 		return r.outcome(), false
 	}
-	c.SetReadDeadline(time.Now().Add(backend.AnswerTimeout))
+	c.SetStallTimeout(backend.AnswerStallTimeout)
+	defer c.SetStallTimeout(0)
 	if err := c.readReply(a, &r); err != nil {
 		stop()
 		return r.brokenOutcome(err), false
--- a/internal/backend/postgres/stream.go
+++ b/internal/backend/postgres/stream.go
@@ -95,7 +95,7 @@
 		return ErrClientDisconnected
 	}
 	err = <-s.done
-	c.SetReadDeadline(time.Now().Add(streamStallTimeout)) // for all messages after the row
+	c.SetStallTimeout(streamStallTimeout) // for the messages after the row
 	return err
 }
 
--- a/internal/framebuf/framebuf.go
+++ b/internal/framebuf/framebuf.go
@@ -40,6 +40,7 @@
 	reserved          int     // bytes, from budget
 	peerClosed        atomic.Bool
 	arrivals          arrivals
+	stallTimeout      time.Duration // of each read; 0: the read deadline applies
 
 	mu     sync.Mutex
 	parked bool
@@ -52,6 +53,15 @@
 // Charge sets the budget that the buffer's growth is charged to. Release returns the charged bytes and discards unread ones.
 func (c *Conn) Charge(b *Budget) { c.budget = b }
 
+// SetStallTimeout bounds the time without a byte, in place of the read deadline, for all reads until it is set to 0. It must be 0 when
+// Park is called. Only the goroutine that owns the connection may call it.
+func (c *Conn) SetStallTimeout(d time.Duration) {
+	c.stallTimeout = d
+	if d == 0 {
+		c.SetReadDeadline(time.Time{})
+	}
+}
+
 // Release frees the buffer, with any unread bytes, and returns its reserved bytes to the budget. Callers outside this package
 // must not read from the connection afterwards.
 func (c *Conn) Release() {
@@ -135,6 +145,9 @@
 	if err := c.ensureCapacity(n); err != nil {
 		return err
 	}
+	if c.stallTimeout > 0 {
+		c.SetReadDeadline(time.Now().Add(c.stallTimeout))
+	}
 	got, err := c.Conn.Read(c.buf[c.writePos:])
 	c.writePos += got
 	if got > 0 {
