Give long results of MySQL hosts a memory budget

300 clients with results of 480 KB took 145896 KiB under a limit of 32 MB. Cause: a result of up to 512 KiB is read as a whole and copied for its client, and was in no budget.

Before more than 16 KiB of a result are read, room for the longest one and its copy is reserved at once, from an eighth of the limit; without room the host waits, until the attempt's deadline. The room is released when the client has the result, or with the result.

--- a/cmd/cranegate/fleet.go
+++ b/cmd/cranegate/fleet.go
@@ -16,6 +16,7 @@
 	"cranegate/internal/config"
 	"cranegate/internal/core"
 	"cranegate/internal/discovery"
+	"cranegate/internal/framebuf"
 	"cranegate/internal/frontend"
 	"cranegate/internal/frontend/mysql"
 	"cranegate/internal/frontend/postgres"
@@ -29,6 +30,9 @@
 	mysqlName    = "mysql"
 )
 
+// resultsShare is the share of the memory limit, as a divisor, for long results of MySQL hosts.
+const resultsShare = 8
+
 // firstPollTimeout is how long a starting process waits for discovery's endpoint list if it already has one from the configuration
 // or from an older process.
 const firstPollTimeout = 500 * time.Millisecond
@@ -73,7 +77,7 @@
 
 // mysqlFleet is the fleet of the operator's [mysql]. Prepares form a separate class, so that their short round trips
 // are not mistaken for the latency of statements.
-func mysqlFleet(operator *config.Operator) fleet {
+func mysqlFleet(operator *config.Operator, limits config.Limits) fleet {
 	settings, configured := *operator.Settings, operator.MySQL
 	settings.Routing.Classes = append(slices.Clone(settings.Routing.Classes), routing.Class{
 		Name:             mysql.PrepareClass,
@@ -88,6 +92,7 @@
 		Database:       configured.Database,
 		HealthCheck:    configured.HealthCheck,
 		PrepareTimeout: settings.ConnectTimeout,
+		Results:        framebuf.NewBudget(int64(limits.MemoryMB) << 20 / resultsShare),
 	}
 	if configured.PasswordEnv != "" {
 		account.Password = os.Getenv(configured.PasswordEnv)
--- a/cmd/cranegate/gateway.go
+++ b/cmd/cranegate/gateway.go
@@ -143,12 +143,12 @@
 	} else {
 		limits = operator.Limits
 	}
-	if operator != nil && operator.MySQL != nil {
-		fleets = append(fleets, mysqlFleet(operator))
-	}
 	if limits.MemoryMB <= 0 || limits.MemoryMB > maxMemoryMB {
 		limits.MemoryMB = maxMemoryMB
 	}
+	if operator != nil && operator.MySQL != nil {
+		fleets = append(fleets, mysqlFleet(operator, limits))
+	}
 	return fleets, limits
 }
 
--- a/cmd/cranegate/memory_test.go
+++ b/cmd/cranegate/memory_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
@@ -51,8 +52,33 @@
 	return err
 }
 
-// TestMemoryUnderManyClients has 200 clients send large requests at once to a gateway with the smallest memory limit. Its memory
-// must stay below the limit: copies of statements, and attributes of a few bytes each, were not charged to the budget.
+// shortRead reads a value, which is long where longMySQLResult replaces the answer.
+func shortRead(_ *harness, client *memoryClient, id string) error {
+	_, err := client.mysql.Query(fmt.Sprintf(readQuery, id, id))
+	return err
+}
+
+// longMySQLResult replaces the answer to a read in the MySQL protocol by a result of four rows, with 480 KiB in all.
+func longMySQLResult(_ string, answer []byte) fake.Malformed {
+	const rows, rowBytes = 4, 120 << 10
+	if !bytes.Contains(answer, []byte("value of")) {
+		return fake.Malformed{Answer: answer}
+	}
+	var column, row, w mysqlwire.Writer
+	column.Column("v", mysqlwire.TypeVarString)
+	row.String(strings.Repeat("v", rowBytes))
+	result := &mysqlwire.Result{Columns: [][]byte{column.B[4:]}}
+	for range rows {
+		result.Rows = append(result.Rows, row.B)
+	}
+	w.Reset(1)
+	w.Result(result, mysqlwire.CapProtocol41|mysqlwire.CapDeprecateEOF)
+	return fake.Malformed{Answer: w.B}
+}
+
+// TestMemoryUnderManyClients has 200 clients send large requests, or get large results, at once from a gateway with the smallest memory
+// limit. Its memory must stay below the limit: copies of statements, attributes of a few bytes each and results of MySQL hosts were not
+// charged to any budget.
 func TestMemoryUnderManyClients(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -62,10 +88,11 @@
 		{"PostgreSQL, long writes", false, longWrite},
 		{"MySQL, long writes", true, longWrite},
 		{"MySQL, many attributes", true, manyAttributes},
+		{"MySQL, long results", true, shortRead},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := startGateway(t, nil)
-			h.restartWithMemory(smallMemoryMB)
+			h.restartWithMemory(smallMemoryMB, longMySQLResult)
 			stop := make(chan struct{})
 			var clients sync.WaitGroup
 			for i := range memoryClients {
@@ -86,10 +113,15 @@
 	}
 }
 
-// restartWithMemory kills the program and starts it with both frontends, under a memory limit.
-func (h *harness) restartWithMemory(megabytes int) {
+// restartWithMemory kills the program and starts it with both frontends, under a memory limit. From then on the hosts' answers are
+// replaced.
+func (h *harness) restartWithMemory(megabytes int, answers func(id string, answer []byte) fake.Malformed) {
 	h.t.Helper()
 	kill(h.cmd)
+	for _, host := range h.hosts {
+		h.until("the host's connections have ended", func() bool { return host.Conns() == 0 })
+		host.Malform = answers
+	}
 	h.config["limits"] = map[string]any{"cores": 1.0, "memory_mb": megabytes, "sockets": 1024}
 	h.writeConfig()
 	h.log = &fake.LogBuffer{}
--- a/internal/backend/mysql/mysql.go
+++ b/internal/backend/mysql/mysql.go
@@ -22,6 +22,9 @@
 	Password       string
 	HealthCheck    string        // the statement of a health check
 	PrepareTimeout time.Duration // of a prepare within an attempt, which may take as long as a connect
+
+	// Results is the memory budget for long results, which are read as a whole before their clients get them. nil: no bound.
+	Results *framebuf.Budget
 }
 
 // Conn is one connection to a database host.
@@ -86,7 +89,7 @@
 		return core.Outcome{Result: routing.ResultConnectFailed}, false
 	}
 	c.SetReadDeadline(time.Time{})
-	response, serverError, err := c.readResponse(false)
+	response, serverError, err := c.readResponse(a.Context(), false)
 	return c.outcome(a, response, serverError, err), stop() && err == nil && c.Buffered() == 0
 }
 
--- a/internal/backend/mysql/prepared.go
+++ b/internal/backend/mysql/prepared.go
@@ -87,7 +87,7 @@
 			return core.Outcome{Result: routing.ResultConnectFailed}, false
 		}
 		c.SetReadDeadline(time.Time{})
-		response, serverError, err := c.readResponse(true)
+		response, serverError, err := c.readResponse(a.Context(), true)
 		forgotten := serverError != nil && response == nil && serverError.Code == errUnknownStatement
 		if forgotten && wasPrepared {
 			c.forget(command.Statement.Key)
--- a/internal/backend/mysql/response.go
+++ b/internal/backend/mysql/response.go
@@ -1,8 +1,10 @@
 package mysql
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"runtime"
 
 	"cranegate/internal/backend"
 	"cranegate/internal/core"
@@ -13,7 +15,11 @@
 
 const (
 	maxResponseBytes = 512 << 10 // of definitions and rows
+	maxShortResult   = 16 << 10  // bytes; longer results need memory from Account.Results
+	resultCopies     = 2         // of a result: its rows, and the packets for the client
 	maxColumns       = 4096
+
+	packetLengthBytes = 3
 )
 
 // The first bytes of a packet, or of a value, with a special meaning.
@@ -76,7 +82,7 @@
 
 // readResponse reads the response to a statement: an OK, an error, or rows. If it returns both a result and an error of the
 // host, the statement had begun and the host cut its rows off.
-func (c *Conn) readResponse(binary bool) (*mysqlwire.Result, *mysqlwire.Error, error) {
+func (c *Conn) readResponse(ctx context.Context, binary bool) (*mysqlwire.Result, *mysqlwire.Error, error) {
 	c.seq = 1
 	if _, err := c.Need(1); err != nil {
 		return nil, nil, err
@@ -104,39 +110,74 @@
 	if cursor.Err != nil || columns > maxColumns || len(cursor.B) > 0 {
 		return nil, nil, mysqlwire.ErrMalformed
 	}
-	return c.readRows(int(columns), binary)
+	return c.readRows(ctx, int(columns), binary)
 }
 
-// readRows reads the definitions of a number of columns, and the rows up to their end.
-func (c *Conn) readRows(columns int, binary bool) (*mysqlwire.Result, *mysqlwire.Error, error) {
+// readRows reads the definitions of a number of columns, and the rows up to their end. It reserves memory for a long result, which is
+// released by the result's reader or, if nobody reads it, with the result itself.
+func (c *Conn) readRows(ctx context.Context, columns int, binary bool) (*mysqlwire.Result, *mysqlwire.Error, error) {
 	response := &mysqlwire.Result{}
+	serverError, err := c.readRowsInto(ctx, response, columns, binary)
+	if err != nil {
+		response.Memory.Release()
+		return nil, nil, err
+	}
+	if response.Memory != nil {
+		runtime.AddCleanup(response, (*framebuf.Reservation).Release, response.Memory)
+	}
+	return response, serverError, nil
+}
+
+// readRowsInto does the work of readRows.
+func (c *Conn) readRowsInto(ctx context.Context, response *mysqlwire.Result, columns int, binary bool) (*mysqlwire.Error, error) {
 	bytesLeft := maxResponseBytes
 	var err error
 	if response.Columns, err = c.readDefinitions(columns, &bytesLeft); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	for {
+		if err := c.reserveResult(ctx, response, maxResponseBytes-bytesLeft); err != nil {
+			return nil, err
+		}
 		packet, err := c.readPacket()
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		if len(packet) > 0 && packet[0] == mysqlwire.HeadErr {
 			serverError, err := mysqlwire.ParseErr(packet)
-			return response, &serverError, err
+			return &serverError, err
 		}
 		if mysqlwire.IsEOF(packet, c.caps) {
-			return response, nil, c.parseEnd(response, packet)
+			return nil, c.parseEnd(response, packet)
 		}
 		if bytesLeft -= len(packet); bytesLeft < 0 {
-			return nil, nil, framebuf.ErrTooLarge
+			return nil, framebuf.ErrTooLarge
 		}
 		if !mysqlwire.RowFits(packet, columns, binary) {
-			return nil, nil, fmt.Errorf("row: %w", mysqlwire.ErrMalformed)
+			return nil, fmt.Errorf("row: %w", mysqlwire.ErrMalformed)
 		}
 		response.Rows = append(response.Rows, append([]byte(nil), packet...))
 	}
 }
 
+// reserveResult reserves memory for the longest result before a packet is read that makes the result longer than maxShortResult bytes. It
+// waits for the memory until the context ends. read is the number of bytes of the result so far.
+func (c *Conn) reserveResult(ctx context.Context, response *mysqlwire.Result, read int) error {
+	if response.Memory != nil {
+		return nil
+	}
+	head, err := c.Need(packetLengthBytes)
+	if err != nil {
+		return err
+	}
+	length := int(head[0]) | int(head[1])<<8 | int(head[2])<<16
+	if read+length <= maxShortResult {
+		return nil
+	}
+	response.Memory, err = c.account.Results.ReserveWait(ctx, resultCopies*maxResponseBytes)
+	return err
+}
+
 // parseEnd parses the packet that ends a response's rows.
 func (c *Conn) parseEnd(response *mysqlwire.Result, packet []byte) error {
 	var err error
--- a/internal/frontend/mysql/command.go
+++ b/internal/frontend/mysql/command.go
@@ -115,8 +115,18 @@
 		c.writeUnserved(answer)
 		return nil
 	}
-	c.w.Result(answer.Value.(*mysqlwire.Result), c.capabilities)
-	return nil
+	return c.writeResult(answer.Value.(*mysqlwire.Result))
+}
+
+// writeResult writes the result of a statement. A long one is sent at once, as its memory is needed for others.
+func (c *client) writeResult(result *mysqlwire.Result) error {
+	c.w.Result(result, c.capabilities)
+	if result.Memory == nil {
+		return nil
+	}
+	defer result.Memory.Release()
+	defer c.w.Reset(0) // frees the buffer
+	return c.Send(c.w.B)
 }
 
 // applyAttributes overrides the fields of a statement's comment by the query attributes of the same names.
--- a/internal/mysqlwire/response.go
+++ b/internal/mysqlwire/response.go
@@ -1,6 +1,10 @@
 package mysqlwire
 
-import "fmt"
+import (
+	"fmt"
+
+	"cranegate/internal/framebuf"
+)
 
 // OK is the packet that reports success of a command.
 type OK struct {
@@ -188,6 +192,7 @@
 type Result struct {
 	Columns, Rows [][]byte
 	OK            OK
+	Memory        *framebuf.Reservation // for a long result, released when it has been written; nil: none
 }
 
 // Result writes a statement's result. The result includes the session variables that the host tracked, as they have the
