Keep the floor of session reads when another process ends

The end of another process set the floor to the present even where a dropped mark had raised it further, which a clock behind the primary's could do. It takes the higher of the two.

--- a/routing/sessions.go
+++ b/routing/sessions.go
@@ -12,13 +12,13 @@
 // those of sessions that were dropped, and those of writes that another process of this gateway has served.
 // All missing marks are at or below floor, unless another process still serves writes.
 //
-// A mark takes the same few bytes whatever the session's name is, as it stores the name's hash. Two sessions of
-// the same hash share the higher of their marks.
+// A mark takes the same few bytes whatever the session's name is, as it stores the name's hash. Two sessions
+// of the same hash share the higher of their marks.
 type sessionMarks struct {
 	seed     maphash.Seed
 	recent   markGeneration // receives new marks, up to half of the limit
 	previous markGeneration // is dropped when recent is full and takes its place
-	floor    int64          // lowest position that is required of a session's read, as its mark may be missing
+	floor    int64          // lowest position that a session's read requires, as its mark may be missing
 	shared   bool           // another process of this gateway may be serving writes of the same sessions
 }
 
@@ -35,7 +35,7 @@
 
 func newMarkGeneration() markGeneration { return markGeneration{positions: map[uint64]int64{}} }
 
-// put raises a session's position. If that makes more than limit marks, it drops up to half of them, the oldest.
+// put raises a session's position. If that makes more than limit marks, it drops the older half.
 func (s *sessionMarks) put(session string, position int64, limit int) {
 	hash := maphash.String(s.seed, session)
 	s.recent.positions[hash] = max(position, s.recent.positions[hash])
@@ -69,7 +69,7 @@
 func (r *Router) ShareSessions(now time.Duration, shared bool) {
 	r.advanceClock(now)
 	if r.sessionMarks.shared && !shared {
-		r.sessionMarks.floor = r.positionAt(r.now)
+		r.sessionMarks.floor = max(r.sessionMarks.floor, r.positionAt(r.now))
 	}
 	r.sessionMarks.shared = shared
 }
